Set down the schema, the core types and the interfaces

Cause: the repository is empty and its shape has to come first. Change: messages, settings and errors stand in schema/; a protoc plug-in of ours makes plain structs, std::variant for oneofs and enum tables from it, so that decisions can use them without a codec's header. Own clock type in ms, state in shards, typed errors on Boost.LEAF, interfaces for clock, random numbers, storage, HTTP, peers and key hashes. Ruled out: protobuf's own classes in decisions, which would bind them to the codec; hand-written structs beside generated ones, which would say all twice.

--- /dev/null
+++ b/include/rosemarywinch/core/schema_support.h
@@ -0,0 +1,44 @@
+#ifndef ROSEMARYWINCH_CORE_SCHEMA_SUPPORT_H_
+#define ROSEMARYWINCH_CORE_SCHEMA_SUPPORT_H_
+
+#include <concepts>
+#include <span>
+#include <string_view>
+#include <type_traits>
+
+#include "rosemarywinch/core/enum_table.h"
+#include "rosemarywinch/core/time.h"
+
+namespace rosemarywinch {
+
+/// What the schema says of one field of a message.
+struct FieldInfo {
+  std::string_view name;
+  std::string_view unit;
+  double min;
+  double max;
+  std::string_view default_value;
+  std::string_view help;
+  std::string_view levels;
+  /// Names of the alternatives of a std::variant; empty for other fields.
+  std::span<const std::string_view> alternatives;
+
+  /// Tells whether numbers of this field have a range.
+  constexpr bool HasRange() const { return min != 0 || max != 0; }
+};
+
+/// Holds for `Message` and `const Message`.
+template <typename Self, typename Message>
+concept SameType = std::same_as<std::remove_const_t<Self>, Message>;
+
+/// Visitor made of several lambdas, for std::visit.
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_CORE_SCHEMA_SUPPORT_H_
--- /dev/null
+++ b/include/rosemarywinch/core/text_value.h
@@ -0,0 +1,109 @@
+#ifndef ROSEMARYWINCH_CORE_TEXT_VALUE_H_
+#define ROSEMARYWINCH_CORE_TEXT_VALUE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+#include "rosemarywinch/core/error.h"
+#include "rosemarywinch/core/schema_support.h"
+
+namespace rosemarywinch {
+
+/// Reads a whole number or a decimal fraction; the text must hold no more.
+std::optional<double> ParseNumber(std::string_view text);
+
+/// Builds the kBadValue failure for `field`, which names unit and range.
+boost::leaf::error_id FailBadValue(const FieldInfo& field,
+                                   std::string_view text);
+
+/// Returns the name in `names` that is fewest edits away from `name`.
+std::string NearestName(std::string_view name,
+                        const std::vector<std::string>& names);
+
+/// Writes a number without trailing zeros.
+std::string NumberText(double value);
+
+namespace detail {
+
+template <typename T>
+Result<Done> AssignNumber(const FieldInfo& field,
+                          T& value,
+                          std::string_view text) {
+  const std::optional<double> number = ParseNumber(text);
+  const bool whole = std::is_floating_point_v<T> ||
+                     (number && *number == static_cast<int64_t>(*number));
+  const bool in_range =
+      number &&
+      (!field.HasRange() || (*number >= field.min && *number <= field.max));
+  const bool signed_ok = std::is_signed_v<T> || (number && *number >= 0);
+  if (!number || !whole || !in_range || !signed_ok) {
+    return FailBadValue(field, text);
+  }
+  value = static_cast<T>(*number);
+  return Done{};
+}
+
+}  // namespace detail
+
+/// Reads `text` into a field of the schema and checks its range.
+/// Errors: kBadValue, whose detail names unit and range.
+template <typename T>
+Result<Done> AssignFromText(const FieldInfo& field,
+                            T& value,
+                            std::string_view text) {
+  if constexpr (std::is_same_v<T, std::string>) {
+    value = std::string(text);
+    return Done{};
+  } else if constexpr (std::is_same_v<T, bool>) {
+    if (text != "true" && text != "false") {
+      return FailBadValue(field, text);
+    }
+    value = text == "true";
+    return Done{};
+  } else if constexpr (std::is_enum_v<T>) {
+    const std::optional<T> named = EnumFromName<T>(text);
+    if (!named) {
+      return FailBadValue(field, text);
+    }
+    value = *named;
+    return Done{};
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    return detail::AssignNumber(field, value.ms, text);
+  } else {
+    return detail::AssignNumber(field, value, text);
+  }
+}
+
+template <typename T>
+Result<Done> AssignFromText(const FieldInfo& field,
+                            std::optional<T>& value,
+                            std::string_view text) {
+  T parsed{};
+  BOOST_LEAF_CHECK(AssignFromText(field, parsed, text));
+  value = std::move(parsed);
+  return Done{};
+}
+
+/// Writes a field of the schema as AssignFromText() reads it.
+template <typename T>
+std::string ToText(const T& value) {
+  if constexpr (std::is_same_v<T, std::string>) {
+    return value;
+  } else if constexpr (std::is_same_v<T, bool>) {
+    return value ? "true" : "false";
+  } else if constexpr (std::is_enum_v<T>) {
+    return std::string(NameOf(value));
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    return std::to_string(value.ms);
+  } else {
+    return NumberText(static_cast<double>(value));
+  }
+}
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_CORE_TEXT_VALUE_H_
--- /dev/null
+++ b/include/rosemarywinch/core/time.h
@@ -0,0 +1,44 @@
+#ifndef ROSEMARYWINCH_CORE_TIME_H_
+#define ROSEMARYWINCH_CORE_TIME_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace rosemarywinch {
+
+/// A length of time in milliseconds.
+struct Duration {
+  int64_t ms = 0;
+
+  auto operator<=>(const Duration&) const = default;
+
+  constexpr Duration operator+(Duration other) const { return {ms + other.ms}; }
+  constexpr Duration operator-(Duration other) const { return {ms - other.ms}; }
+  constexpr Duration operator*(int64_t factor) const { return {ms * factor}; }
+  constexpr Duration operator/(int64_t divisor) const { return {ms / divisor}; }
+
+  /// Returns the length in seconds.
+  constexpr double Seconds() const { return static_cast<double>(ms) / 1000.0; }
+};
+
+/// A point in time in milliseconds on a clock that never goes back.
+/// Points of different processes cannot be compared.
+struct TimePoint {
+  int64_t ms = 0;
+
+  auto operator<=>(const TimePoint&) const = default;
+
+  constexpr TimePoint operator+(Duration length) const {
+    return {ms + length.ms};
+  }
+  constexpr TimePoint operator-(Duration length) const {
+    return {ms - length.ms};
+  }
+  constexpr Duration operator-(TimePoint other) const {
+    return {ms - other.ms};
+  }
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_CORE_TIME_H_
--- /dev/null
+++ b/include/rosemarywinch/interfaces/storage.h
@@ -0,0 +1,40 @@
+#ifndef ROSEMARYWINCH_INTERFACES_STORAGE_H_
+#define ROSEMARYWINCH_INTERFACES_STORAGE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "rosemarywinch/core/error.h"
+#include "rosemarywinch/schema/consensus.h"
+
+namespace rosemarywinch {
+
+/// What a control replica finds in its data folder when it starts.
+struct RecoveredState {
+  /// An empty instance marks a new or lost data folder.
+  HardState hard;
+  Snapshot snapshot;
+  /// Entries after the snapshot, without gaps.
+  std::vector<LogEntry> entries;
+};
+
+/// Durable state of one control replica. Each call returns once the change is
+/// synced; after a failure the replica must stop.
+class Storage {
+ public:
+  virtual ~Storage() = default;
+
+  /// Reads the data folder. Errors: kCorruptRecord, kFolderNotWritable.
+  virtual Result<RecoveredState> Recover() = 0;
+  virtual Result<Done> SaveHardState(const HardState& state) = 0;
+  virtual Result<Done> Append(const std::vector<LogEntry>& entries) = 0;
+  /// Drops the entries from `index` on.
+  virtual Result<Done> TruncateFrom(uint64_t index) = 0;
+  /// Replaces the snapshot; `kept` are the entries that stay after it.
+  virtual Result<Done> SaveSnapshot(const Snapshot& snapshot,
+                                    const std::vector<LogEntry>& kept) = 0;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_INTERFACES_STORAGE_H_
--- /dev/null
+++ b/src/core/http.cc
@@ -0,0 +1,33 @@
+#include "rosemarywinch/interfaces/http.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace rosemarywinch {
+
+bool SameHeaderName(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](unsigned char x, unsigned char y) {
+                      return std::tolower(x) == std::tolower(y);
+                    });
+}
+
+void HttpHeaders::Add(std::string name, std::string value) {
+  m_headers.push_back({std::move(name), std::move(value)});
+}
+
+void HttpHeaders::Remove(std::string_view name) {
+  std::erase_if(m_headers, [&](const HttpHeader& header) {
+    return SameHeaderName(header.name, name);
+  });
+}
+
+const std::string* HttpHeaders::Find(std::string_view name) const {
+  const auto found = std::find_if(
+      m_headers.begin(), m_headers.end(),
+      [&](const auto& header) { return SameHeaderName(header.name, name); });
+  return found == m_headers.end() ? nullptr : &found->value;
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/core/text_value.cc
@@ -0,0 +1,69 @@
+#include "rosemarywinch/core/text_value.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <numeric>
+
+namespace rosemarywinch {
+
+namespace {
+
+size_t EditDistance(std::string_view a, std::string_view b) {
+  std::vector<size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), 0);
+  for (size_t i = 1; i <= a.size(); ++i) {
+    size_t diagonal = row[0];
+    row[0] = i;
+    for (size_t j = 1; j <= b.size(); ++j) {
+      const size_t substitute = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, substitute});
+    }
+  }
+  return row.back();
+}
+
+}  // namespace
+
+std::optional<double> ParseNumber(std::string_view text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, code] =
+      std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  if (code != std::errc() || rest != end || text.empty()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+boost::leaf::error_id FailBadValue(const FieldInfo& field,
+                                   std::string_view text) {
+  std::string detail(field.name);
+  detail += " = `" + std::string(text) + "`";
+  if (!field.unit.empty()) {
+    detail += ", unit " + std::string(field.unit);
+  }
+  if (field.HasRange()) {
+    detail +=
+        ", from " + NumberText(field.min) + " to " + NumberText(field.max);
+  }
+  return Fail(ErrorId::kBadValue, detail);
+}
+
+std::string NearestName(std::string_view name,
+                        const std::vector<std::string>& names) {
+  const auto nearest =
+      std::min_element(names.begin(), names.end(), [&](auto& a, auto& b) {
+        return EditDistance(name, a) < EditDistance(name, b);
+      });
+  return nearest == names.end() ? std::string() : *nearest;
+}
+
+std::string NumberText(double value) {
+  char buffer[64];
+  std::snprintf(buffer, sizeof(buffer), "%.10g", value);
+  return buffer;
+}
+
+}  // namespace rosemarywinch
