Add the decisions: log, fleet state, leases, allowances, traffic

Cause: what the fleet decides must be testable without sockets and codecs. Change: a leader-based replicated log whose replicas rejoin under a new instance when their disk is lost; the settings tree with inheritance, compare and set, and remembered operations; versions in force by leases; members by deltas; rate and burst lent in shares; admission, concurrency limit, retries, request contexts, at-most-once records and routing.

--- /dev/null
+++ b/include/rosemarywinch/decisions/control/allowance_bucket.h
@@ -0,0 +1,55 @@
+#ifndef ROSEMARYWINCH_DECISIONS_CONTROL_ALLOWANCE_BUCKET_H_
+#define ROSEMARYWINCH_DECISIONS_CONTROL_ALLOWANCE_BUCKET_H_
+
+#include <cstdint>
+#include <string>
+
+#include "rosemarywinch/core/time.h"
+#include "rosemarywinch/schema/control.h"
+
+namespace rosemarywinch {
+
+/// A node's share of one client account's rate and burst. The caller
+/// serialises all calls.
+class AllowanceBucket {
+ public:
+  /// Takes the token of one request. Returns false when there is none.
+  bool TryTake(TimePoint now);
+
+  /// Counts a request as offered, whether or not it is let in.
+  void CountOffer() { m_offers += 1; }
+
+  /// Tells whether the node holds a share whose lease lives.
+  bool HasShare(TimePoint now) const;
+
+  /// Returns the time until a token is there at the present rate.
+  Duration RetryAfter(TimePoint now) const;
+
+  /// Makes the report of the next poll and begins a new span of demand.
+  AllowanceReport Report(TimePoint now, const std::string& account);
+
+  /// Applies a grant, each number once, and extends the lease.
+  void Apply(TimePoint now, const AllowanceGrant& grant, TimePoint lease_end);
+
+  /// Tells whether nothing was offered for so long that the share can go.
+  bool IsIdle(TimePoint now) const;
+
+ private:
+  void Refill(TimePoint now);
+
+  double m_rate = 0;
+  double m_burst = 0;
+  double m_tokens = 0;
+  double m_returned = 0;
+  double m_offers = 0;
+  double m_demand = 0;
+  uint64_t m_grant = 0;
+  TimePoint m_refilled;
+  TimePoint m_lease_end;
+  TimePoint m_reported;
+  TimePoint m_last_demand;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_DECISIONS_CONTROL_ALLOWANCE_BUCKET_H_
--- /dev/null
+++ b/include/rosemarywinch/decisions/control/allowance_lender.h
@@ -0,0 +1,78 @@
+#ifndef ROSEMARYWINCH_DECISIONS_CONTROL_ALLOWANCE_LENDER_H_
+#define ROSEMARYWINCH_DECISIONS_CONTROL_ALLOWANCE_LENDER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "rosemarywinch/core/time.h"
+#include "rosemarywinch/schema/control.h"
+
+namespace rosemarywinch {
+
+/// Rate and burst of one client account over all hosts.
+struct AllowanceLimit {
+  double rate = 0;
+  double burst = 0;
+};
+
+/// Lends the rate and burst of one client account to nodes, in shares that
+/// end with a lease. The caller serialises all calls.
+///
+/// Invariant: the shares that nodes may hold, together with the reserve, never
+/// sum to more than the limit in rate or in burst; and the tokens in all
+/// buckets, the reserve's among them, never sum to more than one bucket with
+/// the whole limit would hold. So no pattern of use passes rate and burst.
+class AllowanceLender {
+ public:
+  /// `since` is when the lender's term began: shares that an earlier lender
+  /// gave may be out until a lease later, and are only renewed till then.
+  AllowanceLender(TimePoint since, Duration lease);
+
+  /// Handles what `node` reports and returns its grant.
+  /// Complexity: linear in the nodes that use the account.
+  AllowanceGrant OnReport(TimePoint now,
+                          const AllowanceLimit& limit,
+                          const std::string& node,
+                          const AllowanceReport& report);
+
+  /// Takes back the shares of nodes whose lease has ended.
+  void ExpireLeases(TimePoint now);
+
+  /// Rate and burst that nodes may hold at most at this moment.
+  AllowanceLimit Lent() const;
+
+  bool IsIdle() const { return m_holders.empty(); }
+
+ private:
+  struct Holder {
+    double demand = 0;
+    /// Share of the last grant, and the larger share that the node may still
+    /// use until it has applied that grant.
+    AllowanceGrant grant;
+    AllowanceLimit bound;
+    bool confirmed = true;
+    TimePoint lease_end;
+  };
+
+  void Refill(TimePoint now, const AllowanceLimit& limit);
+  void Confirm(Holder& holder, const AllowanceReport& report);
+  AllowanceLimit Target(const AllowanceLimit& limit,
+                        const Holder& holder) const;
+  void NextGrant(Holder& holder, const AllowanceLimit& limit);
+  double TokensToLend(const Holder& holder,
+                      double share_burst,
+                      double reserve_burst) const;
+  bool Settled(TimePoint now) const;
+
+  const TimePoint m_since;
+  const Duration m_lease;
+  std::map<std::string, Holder> m_holders;
+  /// Tokens of the reserve, which fill at the rate that is not lent.
+  double m_tokens = 0;
+  TimePoint m_refilled;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_DECISIONS_CONTROL_ALLOWANCE_LENDER_H_
--- /dev/null
+++ b/include/rosemarywinch/decisions/control/version_ledger.h
@@ -0,0 +1,55 @@
+#ifndef ROSEMARYWINCH_DECISIONS_CONTROL_VERSION_LEDGER_H_
+#define ROSEMARYWINCH_DECISIONS_CONTROL_VERSION_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "rosemarywinch/core/time.h"
+
+namespace rosemarywinch {
+
+/// Knows from which version on a configuration is in force everywhere: no
+/// node can act on an older one. The caller serialises all calls.
+///
+/// A version is in force once every node that may hold a lease has confirmed
+/// it, or once every lease given before it was applied has ended.
+class VersionLedger {
+ public:
+  explicit VersionLedger(Duration lease) : m_lease(lease) {}
+
+  /// Starts a term of leadership. Leases of earlier leaders may be out.
+  void Reset(TimePoint now, uint64_t version);
+
+  /// Notes that the local state has reached `version`.
+  void OnApplied(TimePoint now, uint64_t version);
+
+  /// Notes that `node` acts on `version` and is about to be given a lease.
+  void OnPoll(TimePoint now, const std::string& node, uint64_t version);
+
+  /// Returns the newest version in force everywhere.
+  uint64_t InForce(TimePoint now);
+
+  /// Returns how many known nodes may still act on a version before `version`.
+  size_t PendingNodes(TimePoint now, uint64_t version);
+
+ private:
+  struct NodeRecord {
+    uint64_t confirmed = 0;
+    TimePoint lease_end;
+  };
+
+  void DropEndedLeases(TimePoint now);
+
+  const Duration m_lease;
+  TimePoint m_since;
+  uint64_t m_in_force = 0;
+  uint64_t m_newest = 0;
+  std::map<std::string, NodeRecord> m_nodes;
+  /// When each version that is not yet in force was applied.
+  std::map<uint64_t, TimePoint> m_applied;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_DECISIONS_CONTROL_VERSION_LEDGER_H_
--- /dev/null
+++ b/include/rosemarywinch/decisions/fleet/policy.h
@@ -0,0 +1,41 @@
+#ifndef ROSEMARYWINCH_DECISIONS_FLEET_POLICY_H_
+#define ROSEMARYWINCH_DECISIONS_FLEET_POLICY_H_
+
+#include <map>
+#include <string>
+
+#include "rosemarywinch/core/error.h"
+#include "rosemarywinch/decisions/fleet/tree_path.h"
+#include "rosemarywinch/schema/fleet.h"
+
+namespace rosemarywinch {
+
+/// Origin of a value that no node of the tree gives.
+inline constexpr std::string_view kDefaultOrigin = "default";
+
+/// Settings in force at one node of the tree: every field has a value.
+struct EffectivePolicy {
+  PolicySettings settings;
+  /// Tree path that gave each field, or kDefaultOrigin, by field name.
+  std::map<std::string, std::string> origins;
+
+  /// Tells whether a request under this policy may never run twice.
+  bool RunsAtMostOnce() const;
+};
+
+/// Tells whether requests of the class are shed last and run at most once.
+bool IsEssential(RequestClass request_class);
+
+/// Returns the settings of `path` in `state`, inherited field by field.
+/// Complexity: at most six map lookups.
+EffectivePolicy EffectiveAt(const FleetState& state, const TreePath& path);
+
+/// Sets or clears one field of `settings`.
+/// Errors: kUnknownSetting, kBadValue, kWrongLevel.
+Result<Done> ApplyEdit(PolicySettings& settings,
+                       TreeLevel level,
+                       const Edit& edit);
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_DECISIONS_FLEET_POLICY_H_
--- /dev/null
+++ b/include/rosemarywinch/decisions/traffic/admission_queue.h
@@ -0,0 +1,109 @@
+#ifndef ROSEMARYWINCH_DECISIONS_TRAFFIC_ADMISSION_QUEUE_H_
+#define ROSEMARYWINCH_DECISIONS_TRAFFIC_ADMISSION_QUEUE_H_
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/core/time.h"
+#include "rosemarywinch/decisions/traffic/concurrency_limit.h"
+#include "rosemarywinch/schema/errors.h"
+#include "rosemarywinch/schema/fleet.h"
+
+namespace rosemarywinch {
+
+/// A call that asks to run on the local backend server.
+struct Ticket {
+  uint64_t id = 0;
+  RequestClass request_class = RequestClass::kLookup;
+  std::string account;
+  uint32_t weight = 1;
+  /// Part of a request that the fleet has already let in.
+  bool nested = false;
+  TimePoint deadline;
+};
+
+/// What became of a ticket.
+enum class Verdict { kRun, kWait, kRefuse };
+
+struct Admission {
+  uint64_t ticket = 0;
+  Verdict verdict = Verdict::kWait;
+  /// Why the ticket was refused.
+  ErrorId reason = ErrorId::kNone;
+};
+
+/// Decides which calls run on the local backend server, which wait and which
+/// are refused. The caller serialises all calls.
+///
+/// Order: essential classes before lookups; nested calls before fresh ones;
+/// then the client account that has had least for its weight. When the queue
+/// is full, the call that would run last makes room.
+class AdmissionQueue {
+ public:
+  AdmissionQueue(ConcurrencyLimit limit, uint32_t queue_length);
+
+  /// Offers a call. Returns its verdict first, and then that of a waiting
+  /// call that had to make room.
+  /// Complexity: logarithmic in the queue.
+  std::vector<Admission> Offer(TimePoint now, Ticket ticket);
+
+  /// Ends a running call and returns the verdicts of calls that waited.
+  std::vector<Admission> Finish(TimePoint now, const CallSample& sample);
+
+  /// Withdraws a waiting call, for instance because its deadline passed.
+  void Withdraw(uint64_t ticket);
+
+  /// Takes over a new number of slots.
+  std::vector<Admission> SetLimit(TimePoint now, ConcurrencyLimit limit);
+
+  uint32_t in_flight() const { return m_in_flight; }
+  size_t waiting() const { return m_positions.size(); }
+  uint32_t limit() const { return CurrentLimit(m_limit); }
+
+  /// Returns the time that a call offered now would wait.
+  Duration ExpectedWait() const;
+
+ private:
+  /// Place in a lane: start-time fair queueing orders calls by a tag that
+  /// grows with each call of one client account, slower for greater weights.
+  struct Place {
+    double tag = 0;
+    uint64_t sequence = 0;
+    auto operator<=>(const Place&) const = default;
+  };
+  /// Waiting calls of one priority.
+  struct Lane {
+    std::map<Place, Ticket> waiting;
+    std::map<std::string, double> last_tags;
+    double virtual_time = 0;
+  };
+  struct Position {
+    size_t lane = 0;
+    Place place;
+  };
+
+  static constexpr size_t kLanes = 4;
+
+  static size_t LaneOf(const Ticket& ticket);
+  void Enqueue(Ticket ticket);
+  Ticket PopFirst();
+  Ticket PopLast();
+  Ticket Take(Lane& lane, std::map<Place, Ticket>::iterator entry);
+  std::vector<Admission> StartWaiting(TimePoint now);
+
+  ConcurrencyLimit m_limit;
+  const uint32_t m_queue_length;
+  uint32_t m_in_flight = 0;
+  uint64_t m_sequence = 0;
+  std::array<Lane, kLanes> m_lanes;
+  std::map<uint64_t, Position> m_positions;
+  double m_mean_service_ms = 0;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_DECISIONS_TRAFFIC_ADMISSION_QUEUE_H_
--- /dev/null
+++ b/src/decisions/control/allowance_lender.cc
@@ -0,0 +1,139 @@
+#include "rosemarywinch/decisions/control/allowance_lender.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "rosemarywinch/decisions/control/lease.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+// Part of rate and burst that stays in the reserve, so that a node which meets
+// an account for the first time gets tokens with its first report.
+constexpr double kReservePart = 0.2;
+// Demand that counts for a node that has just met the account, requests/s.
+constexpr double kFirstDemand = 1.0;
+// Changes of a share smaller than this part are not worth a grant.
+constexpr double kShareTolerance = 0.05;
+// Demand below this, in requests/s, gives up the share.
+constexpr double kIdleDemand = 0.01;
+
+bool IsClose(double a, double b) {
+  return std::abs(a - b) <= kShareTolerance * std::max(a, b);
+}
+
+}  // namespace
+
+AllowanceLender::AllowanceLender(TimePoint since, Duration lease)
+    : m_since(since), m_lease(lease), m_refilled(since) {}
+
+AllowanceGrant AllowanceLender::OnReport(TimePoint now,
+                                         const AllowanceLimit& limit,
+                                         const std::string& node,
+                                         const AllowanceReport& report) {
+  ExpireLeases(now);
+  Refill(now, limit);
+  const auto [entry, added] = m_holders.try_emplace(node);
+  Holder& holder = entry->second;
+  if (added) {
+    // The share that an earlier lender gave. Within the first lease of the
+    // term such shares are renewed; later there can be none.
+    const bool claim = !Settled(now);
+    holder.grant.rate = claim ? report.rate : 0;
+    holder.grant.burst = claim ? report.burst : 0;
+    holder.grant.account = report.account;
+    holder.grant.grant = report.grant;
+    holder.bound = {holder.grant.rate, holder.grant.burst};
+  }
+  holder.demand = report.demand;
+  holder.lease_end = now + LessorWait(m_lease);
+  Confirm(holder, report);
+  if (holder.confirmed && Settled(now)) {
+    NextGrant(holder, limit);
+  }
+  return holder.grant;
+}
+
+void AllowanceLender::ExpireLeases(TimePoint now) {
+  std::erase_if(m_holders, [&](const auto& holder) {
+    return holder.second.lease_end <= now;
+  });
+}
+
+AllowanceLimit AllowanceLender::Lent() const {
+  AllowanceLimit lent;
+  for (const auto& [node, holder] : m_holders) {
+    lent.rate += holder.bound.rate;
+    lent.burst += holder.bound.burst;
+  }
+  return lent;
+}
+
+void AllowanceLender::Refill(TimePoint now, const AllowanceLimit& limit) {
+  const AllowanceLimit lent = Lent();
+  const double rate = Settled(now) ? std::max(0.0, limit.rate - lent.rate) : 0;
+  const double burst = std::max(0.0, limit.burst - lent.burst);
+  const double seconds = (now - m_refilled).Seconds();
+  m_tokens = std::min(burst, m_tokens + rate * seconds);
+  m_refilled = std::max(m_refilled, now);
+}
+
+void AllowanceLender::Confirm(Holder& holder, const AllowanceReport& report) {
+  if (holder.confirmed || report.grant < holder.grant.grant) {
+    return;
+  }
+  holder.confirmed = true;
+  holder.bound = {holder.grant.rate, holder.grant.burst};
+  holder.grant.tokens = 0;
+  m_tokens += report.returned;
+}
+
+AllowanceLimit AllowanceLender::Target(const AllowanceLimit& limit,
+                                       const Holder& holder) const {
+  double total = 0;
+  for (const auto& [node, other] : m_holders) {
+    total += std::max(other.demand, kIdleDemand);
+  }
+  const double demand = std::max(holder.demand, kIdleDemand);
+  const double part = (1 - kReservePart) * demand / total;
+  return {limit.rate * part, limit.burst * part};
+}
+
+void AllowanceLender::NextGrant(Holder& holder, const AllowanceLimit& limit) {
+  const AllowanceLimit lent = Lent();
+  const AllowanceLimit target = Target(limit, holder);
+  const double free_rate = std::max(0.0, limit.rate - lent.rate);
+  const double free_burst = std::max(0.0, limit.burst - lent.burst);
+  AllowanceGrant next = holder.grant;
+  next.rate = std::min(target.rate, holder.bound.rate + free_rate);
+  next.burst = std::min(target.burst, holder.bound.burst + free_burst);
+  const double growth = std::max(0.0, next.burst - holder.bound.burst);
+  next.tokens = TokensToLend(holder, next.burst, free_burst - growth);
+  const bool same_share = IsClose(next.rate, holder.grant.rate) &&
+                          IsClose(next.burst, holder.grant.burst);
+  if (same_share && next.tokens < 1) {
+    return;
+  }
+  ++next.grant;
+  m_tokens = std::min(m_tokens - next.tokens, free_burst - growth);
+  holder.bound.rate = std::max(holder.bound.rate, next.rate);
+  holder.bound.burst = std::max(holder.bound.burst, next.burst);
+  holder.grant = next;
+  holder.confirmed = false;
+}
+
+double AllowanceLender::TokensToLend(const Holder& holder,
+                                     double share_burst,
+                                     double reserve_burst) const {
+  const double needed =
+      std::max(holder.demand, kFirstDemand) * m_lease.Seconds();
+  const double surplus = m_tokens - reserve_burst;
+  return std::min({m_tokens, share_burst, std::max(needed, surplus)});
+}
+
+bool AllowanceLender::Settled(TimePoint now) const {
+  return now >= m_since + LessorWait(m_lease);
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/decisions/control/version_ledger.cc
@@ -0,0 +1,63 @@
+#include "rosemarywinch/decisions/control/version_ledger.h"
+
+#include <algorithm>
+
+#include "rosemarywinch/decisions/control/lease.h"
+
+namespace rosemarywinch {
+
+void VersionLedger::Reset(TimePoint now, uint64_t version) {
+  m_since = now;
+  m_in_force = 0;
+  m_newest = version;
+  m_nodes.clear();
+  m_applied.clear();
+  m_applied[version] = now;
+}
+
+void VersionLedger::OnApplied(TimePoint now, uint64_t version) {
+  if (version > m_newest) {
+    m_newest = version;
+    m_applied[version] = now;
+  }
+}
+
+void VersionLedger::OnPoll(TimePoint now,
+                           const std::string& node,
+                           uint64_t version) {
+  NodeRecord& record = m_nodes[node];
+  record.confirmed = std::max(record.confirmed, version);
+  record.lease_end = now + LessorWait(m_lease);
+}
+
+uint64_t VersionLedger::InForce(TimePoint now) {
+  DropEndedLeases(now);
+  for (const auto& [version, applied] : m_applied) {
+    if (now >= applied + LessorWait(m_lease)) {
+      m_in_force = std::max(m_in_force, version);
+    }
+  }
+  if (now >= m_since + LessorWait(m_lease)) {
+    uint64_t confirmed = m_newest;
+    for (const auto& [name, node] : m_nodes) {
+      confirmed = std::min(confirmed, node.confirmed);
+    }
+    m_in_force = std::max(m_in_force, confirmed);
+  }
+  m_applied.erase(m_applied.begin(), m_applied.upper_bound(m_in_force));
+  return m_in_force;
+}
+
+size_t VersionLedger::PendingNodes(TimePoint now, uint64_t version) {
+  DropEndedLeases(now);
+  return static_cast<size_t>(std::count_if(
+      m_nodes.begin(), m_nodes.end(),
+      [&](const auto& node) { return node.second.confirmed < version; }));
+}
+
+void VersionLedger::DropEndedLeases(TimePoint now) {
+  std::erase_if(m_nodes,
+                [&](const auto& node) { return node.second.lease_end <= now; });
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/decisions/fleet/fleet_store.cc
@@ -0,0 +1,208 @@
+#include "rosemarywinch/decisions/fleet/fleet_store.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "rosemarywinch/decisions/fleet/policy.h"
+#include "rosemarywinch/decisions/fleet/tree_path.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+// Newest change of the tree after `version`, or null.
+const HistoryRecord* TreeChangeAfter(const FleetState& state,
+                                     uint64_t version) {
+  const auto found = std::find_if(
+      state.history.rbegin(), state.history.rend(), [&](const auto& record) {
+        return record.version > version &&
+               std::holds_alternative<ChangeTree>(record.command.change);
+      });
+  return found == state.history.rend() ? nullptr : &*found;
+}
+
+Result<Done> CheckExpectedVersion(const FleetState& state,
+                                  const ChangeTree& change) {
+  if (const auto* other = TreeChangeAfter(state, change.expected_version)) {
+    return Fail(ErrorId::kConflict,
+                "version " + std::to_string(other->version) + " by " +
+                    other->command.author + ": " + Describe(other->command));
+  }
+  const bool forgotten = state.version > kMaxHistory &&
+                         change.expected_version < state.version - kMaxHistory;
+  if (change.expected_version > state.version || forgotten) {
+    return Fail(ErrorId::kConflict,
+                "the tree is at version " + std::to_string(state.version));
+  }
+  return Done{};
+}
+
+Result<Done> CheckOpenRoutesStay(const FleetState& before,
+                                 const FleetState& after) {
+  for (const auto& [text, settings] : before.tree) {
+    if (settings.access != Access::kOpen) {
+      continue;
+    }
+    const auto found = after.tree.find(text);
+    const bool same = found != after.tree.end() &&
+                      found->second.access == Access::kOpen &&
+                      found->second.path_prefix == settings.path_prefix;
+    if (!same) {
+      return Fail(ErrorId::kRouteStaysOpen, text);
+    }
+  }
+  return Done{};
+}
+
+Result<Done> CheckRoutePrefixes(const FleetState& state) {
+  std::set<std::string> seen;
+  for (const auto& [text, settings] : state.tree) {
+    BOOST_LEAF_AUTO(path, TreePath::Parse(text));
+    if (path.Level() != TreeLevel::kRoute) {
+      continue;
+    }
+    const std::string prefix = settings.path_prefix.value_or("/");
+    if (!prefix.starts_with('/')) {
+      return Fail(ErrorId::kBadValue, text + " path_prefix must begin with /");
+    }
+    if (!seen.insert(path.service + " " + prefix).second) {
+      return Fail(ErrorId::kRouteConflict, text + " " + prefix);
+    }
+  }
+  return Done{};
+}
+
+Result<Done> Apply(FleetState& state, const ChangeTree& change) {
+  BOOST_LEAF_CHECK(CheckExpectedVersion(state, change));
+  FleetState after;
+  after.tree = state.tree;
+  for (const Edit& edit : change.edits) {
+    BOOST_LEAF_AUTO(path, TreePath::Parse(edit.path));
+    const std::string text = path.Text();
+    BOOST_LEAF_CHECK(ApplyEdit(after.tree[text], path.Level(), edit));
+    if (after.tree[text] == PolicySettings{}) {
+      after.tree.erase(text);
+    }
+  }
+  BOOST_LEAF_CHECK(CheckOpenRoutesStay(state, after));
+  BOOST_LEAF_CHECK(CheckRoutePrefixes(after));
+  state.tree = std::move(after.tree);
+  return Done{};
+}
+
+Result<Done> Apply(FleetState& state, const GiveKey& change) {
+  if (!IsValidName(change.account) || !IsValidName(change.key_id)) {
+    return Fail(ErrorId::kBadPath, "account " + change.account);
+  }
+  const auto live = std::count_if(
+      state.keys.begin(), state.keys.end(),
+      [&](const auto& key) { return key.second.account == change.account; });
+  if (static_cast<size_t>(live) >= kMaxKeysPerAccount) {
+    return Fail(ErrorId::kTooManyKeys, change.account);
+  }
+  const bool added =
+      state.keys.try_emplace(change.key_id, change.account, change.secret_hash)
+          .second;
+  if (!added) {
+    return Fail(ErrorId::kOperationReused, "key " + change.key_id);
+  }
+  return Done{};
+}
+
+Result<Done> Apply(FleetState& state, const WithdrawKey& change) {
+  if (state.keys.erase(change.key_id) == 0) {
+    return Fail(ErrorId::kUnknownKeyId, change.key_id);
+  }
+  return Done{};
+}
+
+Result<Done> Apply(FleetState&, std::monostate) {
+  return Fail(ErrorId::kMalformedMessage, "command without a change");
+}
+
+Result<Done> ApplyChange(FleetState& state, const FleetCommand& command) {
+  return std::visit([&](const auto& change) { return Apply(state, change); },
+                    command.change);
+}
+
+void Remember(FleetState& state, const FleetCommand& command) {
+  ++state.version;
+  state.history.push_back({state.version, command});
+  if (state.history.size() > kMaxHistory) {
+    state.history.erase(state.history.begin());
+  }
+}
+
+std::string DescribeEdit(const Edit& edit) {
+  const std::string target = edit.path + " " + edit.field;
+  return edit.clear ? "clear " + target : target + " = " + edit.value;
+}
+
+}  // namespace
+
+std::string Describe(const FleetCommand& command) {
+  return std::visit(
+      Overloaded{[](const ChangeTree& change) {
+                   std::string text;
+                   for (const Edit& edit : change.edits) {
+                     text += (text.empty() ? "" : ", ") + DescribeEdit(edit);
+                   }
+                   return text;
+                 },
+                 [](const GiveKey& change) {
+                   return "give key " + change.key_id + " to " + change.account;
+                 },
+                 [](const WithdrawKey& change) {
+                   return "withdraw key " + change.key_id;
+                 },
+                 [](std::monostate) { return std::string("nothing"); }},
+      command.change);
+}
+
+CommandResult ApplyCommand(FleetState& state, const FleetCommand& command) {
+  const std::string fingerprint = Describe(command);
+  const auto seen = std::find_if(
+      state.operations.begin(), state.operations.end(),
+      [&](const auto& op) { return op.operation_id == command.operation_id; });
+  if (seen != state.operations.end()) {
+    return seen->fingerprint == fingerprint
+               ? seen->result
+               : CommandResult{ErrorId::kOperationReused, command.operation_id,
+                               state.version};
+  }
+  CommandResult result;
+  const Outcome<Done> outcome =
+      Capture([&] { return ApplyChange(state, command); });
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    result.error = error->id;
+    result.detail = error->detail;
+  } else {
+    Remember(state, command);
+  }
+  result.version = state.version;
+  state.operations.push_back({command.operation_id, fingerprint, result});
+  if (state.operations.size() > kMaxOperations) {
+    state.operations.erase(state.operations.begin());
+  }
+  return result;
+}
+
+void ApplyAccepted(FleetState& state, const HistoryRecord& record) {
+  static_cast<void>(
+      Capture([&] { return ApplyChange(state, record.command); }));
+  state.version = record.version;
+}
+
+std::optional<std::vector<HistoryRecord>> CommandsAfter(const FleetState& state,
+                                                        uint64_t version) {
+  const uint64_t missing = state.version - std::min(version, state.version);
+  if (missing > state.history.size()) {
+    return std::nullopt;
+  }
+  return std::vector<HistoryRecord>(
+      state.history.end() - static_cast<ptrdiff_t>(missing),
+      state.history.end());
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/decisions/traffic/admission_queue.cc
@@ -0,0 +1,134 @@
+#include "rosemarywinch/decisions/traffic/admission_queue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "rosemarywinch/decisions/fleet/policy.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+// Weight of the newest call in the running mean of service times.
+constexpr double kMeanWeight = 0.1;
+
+}  // namespace
+
+AdmissionQueue::AdmissionQueue(ConcurrencyLimit limit, uint32_t queue_length)
+    : m_limit(std::move(limit)), m_queue_length(queue_length) {}
+
+std::vector<Admission> AdmissionQueue::Offer(TimePoint now, Ticket ticket) {
+  const uint64_t id = ticket.id;
+  if (now >= ticket.deadline) {
+    return {{id, Verdict::kRefuse, ErrorId::kDeadlinePassed}};
+  }
+  if (m_in_flight < limit() && m_positions.empty()) {
+    ++m_in_flight;
+    return {{id, Verdict::kRun, ErrorId::kNone}};
+  }
+  Enqueue(std::move(ticket));
+  if (m_positions.size() <= m_queue_length) {
+    return {{id, Verdict::kWait, ErrorId::kNone}};
+  }
+  const uint64_t refused = PopLast().id;
+  const Admission refusal{refused, Verdict::kRefuse, ErrorId::kOverloaded};
+  if (refused == id) {
+    return {refusal};
+  }
+  return {{id, Verdict::kWait, ErrorId::kNone}, refusal};
+}
+
+std::vector<Admission> AdmissionQueue::Finish(TimePoint now,
+                                              const CallSample& sample) {
+  OnSample(m_limit, now, sample, m_in_flight);
+  m_mean_service_ms += kMeanWeight * (sample.service_ms - m_mean_service_ms);
+  m_in_flight -= std::min<uint32_t>(m_in_flight, 1);
+  return StartWaiting(now);
+}
+
+void AdmissionQueue::Withdraw(uint64_t ticket) {
+  const auto found = m_positions.find(ticket);
+  if (found != m_positions.end()) {
+    Lane& lane = m_lanes[found->second.lane];
+    Take(lane, lane.waiting.find(found->second.place));
+  }
+}
+
+std::vector<Admission> AdmissionQueue::SetLimit(TimePoint now,
+                                                ConcurrencyLimit limit) {
+  m_limit = std::move(limit);
+  return StartWaiting(now);
+}
+
+Duration AdmissionQueue::ExpectedWait() const {
+  const double ahead = static_cast<double>(waiting() + 1);
+  const double each = m_mean_service_ms / std::max<uint32_t>(1, limit());
+  return Duration{static_cast<int64_t>(ahead * each) + 1};
+}
+
+size_t AdmissionQueue::LaneOf(const Ticket& ticket) {
+  const size_t by_class = IsEssential(ticket.request_class) ? 0 : 2;
+  return by_class + (ticket.nested ? 0 : 1);
+}
+
+void AdmissionQueue::Enqueue(Ticket ticket) {
+  const size_t index = LaneOf(ticket);
+  Lane& lane = m_lanes[index];
+  double& last = lane.last_tags[ticket.account];
+  const double step = 1.0 / std::max<uint32_t>(1, ticket.weight);
+  last = std::max(last, lane.virtual_time) + step;
+  const Place place{last, ++m_sequence};
+  m_positions[ticket.id] = {index, place};
+  lane.waiting.emplace(place, std::move(ticket));
+}
+
+Ticket AdmissionQueue::PopFirst() {
+  const auto lane = std::find_if(
+      m_lanes.begin(), m_lanes.end(),
+      [](const Lane& candidate) { return !candidate.waiting.empty(); });
+  const auto first = lane->waiting.begin();
+  lane->virtual_time = first->first.tag;
+  return Take(*lane, first);
+}
+
+Ticket AdmissionQueue::PopLast() {
+  const auto lane = std::find_if(
+      m_lanes.rbegin(), m_lanes.rend(),
+      [](const Lane& candidate) { return !candidate.waiting.empty(); });
+  const auto last = std::prev(lane->waiting.end());
+  // The account's next call takes the place that is given up here.
+  const double step = 1.0 / std::max<uint32_t>(1, last->second.weight);
+  lane->last_tags[last->second.account] -= step;
+  return Take(*lane, last);
+}
+
+Ticket AdmissionQueue::Take(Lane& lane,
+                            std::map<Place, Ticket>::iterator entry) {
+  Ticket ticket = std::move(entry->second);
+  lane.waiting.erase(entry);
+  if (lane.waiting.empty()) {
+    lane.last_tags.clear();
+    lane.virtual_time = 0;
+  }
+  m_positions.erase(ticket.id);
+  return ticket;
+}
+
+std::vector<Admission> AdmissionQueue::StartWaiting(TimePoint now) {
+  std::vector<Admission> admissions;
+  const Duration service{static_cast<int64_t>(m_mean_service_ms)};
+  while (!m_positions.empty() && m_in_flight < limit()) {
+    const Ticket ticket = PopFirst();
+    if (now + service >= ticket.deadline) {
+      admissions.push_back(
+          {ticket.id, Verdict::kRefuse, ErrorId::kDeadlinePassed});
+      continue;
+    }
+    ++m_in_flight;
+    admissions.push_back({ticket.id, Verdict::kRun, ErrorId::kNone});
+  }
+  return admissions;
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/decisions/traffic/router.cc
@@ -0,0 +1,172 @@
+#include "rosemarywinch/decisions/traffic/router.h"
+
+#include <algorithm>
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr size_t kChoices = 3;
+constexpr double kMeanWeight = 0.2;
+constexpr uint32_t kFailuresToEject = 5;
+constexpr Duration kFirstEjection{1'000};
+constexpr Duration kLongestEjection{30'000};
+// A member this young is given a share that grows with its age.
+constexpr Duration kSlowStart{10'000};
+constexpr double kLeastStartShare = 0.1;
+// The own data centre keeps the traffic until it is this much busier.
+constexpr double kSpillRatio = 2.0;
+constexpr double kSpillLoad = 0.7;
+
+}  // namespace
+
+void Router::Apply(TimePoint now, const ServiceUpdate& update) {
+  m_revision = update.revision;
+  if (update.complete) {
+    std::set<std::string> listed;
+    for (const Member& member : update.members) {
+      listed.insert(member.node);
+    }
+    std::erase_if(m_members, [&](const auto& entry) {
+      return !listed.contains(entry.first);
+    });
+  }
+  for (const Member& member : update.members) {
+    const auto [entry, added] = m_members.try_emplace(member.node);
+    Record& record = entry->second;
+    const bool restarted = record.member.state != BackendState::kStarting &&
+                           member.state == BackendState::kStarting;
+    if (added || restarted) {
+      record.first_seen = now;
+    }
+    record.member = member;
+  }
+  for (const std::string& node : update.removed) {
+    m_members.erase(node);
+  }
+}
+
+std::optional<Member> Router::Choose(TimePoint now,
+                                     const std::set<std::string>& excluded,
+                                     Random& random) {
+  std::vector<Record*> candidates = Candidates(now, excluded);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  KeepNearest(now, candidates);
+  Record* best = nullptr;
+  for (size_t i = 0; i < kChoices; ++i) {
+    Record* other = candidates[random.Below(candidates.size())];
+    if (best == nullptr || Load(now, *other) < Load(now, *best)) {
+      best = other;
+    }
+  }
+  ++best->in_flight;
+  return best->member;
+}
+
+std::optional<Member> Router::ChooseBound(const std::string& node) {
+  const auto found = m_members.find(node);
+  if (found == m_members.end()) {
+    return std::nullopt;
+  }
+  ++found->second.in_flight;
+  return found->second.member;
+}
+
+void Router::Finish(TimePoint now,
+                    const std::string& node,
+                    CallResult result,
+                    Duration took) {
+  const auto found = m_members.find(node);
+  if (found == m_members.end()) {
+    return;
+  }
+  Record& record = found->second;
+  record.in_flight -= std::min<uint32_t>(record.in_flight, 1);
+  const double refused = result == CallResult::kRefused ? 1 : 0;
+  record.refused_part += kMeanWeight * (refused - record.refused_part);
+  if (result == CallResult::kFailed) {
+    ++record.failures;
+    EjectIfFailing(now, record);
+    return;
+  }
+  record.failures = 0;
+  if (result == CallResult::kAnswered) {
+    const auto ms = static_cast<double>(took.ms);
+    record.mean_ms += kMeanWeight * (ms - record.mean_ms);
+  }
+}
+
+bool Router::TakesWork(const Record& record) {
+  return record.member.state == BackendState::kReady ||
+         record.member.state == BackendState::kStarting;
+}
+
+double Router::Load(TimePoint now, const Record& record) const {
+  const double slots = std::max<uint32_t>(1, record.member.slots);
+  const double age = (now - record.first_seen).Seconds() / kSlowStart.Seconds();
+  const double share = std::clamp(age, kLeastStartShare, 1.0);
+  const bool ramps = record.member.state == BackendState::kStarting;
+  const double usable = slots * (ramps ? share : 1.0);
+  const double busy = (record.in_flight + 1) / usable;
+  return busy * (1 + record.mean_ms / 100.0) + 2 * record.refused_part;
+}
+
+std::vector<Router::Record*> Router::Candidates(
+    TimePoint now,
+    const std::set<std::string>& excluded) {
+  std::vector<Record*> ready;
+  std::vector<Record*> ejected;
+  for (auto& [node, record] : m_members) {
+    if (!TakesWork(record) || excluded.contains(node)) {
+      continue;
+    }
+    (now < record.ejected_until ? ejected : ready).push_back(&record);
+  }
+  // Ejection may never empty a service: with more than half of its members
+  // out, the fault is more likely elsewhere, so all are tried.
+  if (ejected.size() > ready.size()) {
+    ready.insert(ready.end(), ejected.begin(), ejected.end());
+  }
+  return ready.empty() ? ejected : ready;
+}
+
+void Router::KeepNearest(TimePoint now,
+                         std::vector<Record*>& candidates) const {
+  const auto is_far = [this](const Record* record) {
+    return record->member.data_centre != m_data_centre;
+  };
+  const auto far =
+      std::stable_partition(candidates.begin(), candidates.end(),
+                            [&](const Record* r) { return !is_far(r); });
+  if (far == candidates.begin() || far == candidates.end()) {
+    return;
+  }
+  const auto mean_load = [&](auto begin, auto end) {
+    double sum = 0;
+    for (auto it = begin; it != end; ++it) {
+      sum += Load(now, **it);
+    }
+    return sum / static_cast<double>(end - begin);
+  };
+  const double near_load = mean_load(candidates.begin(), far);
+  const double far_load = mean_load(far, candidates.end());
+  const bool spill =
+      near_load > kSpillLoad && near_load > far_load * kSpillRatio;
+  if (!spill) {
+    candidates.erase(far, candidates.end());
+  }
+}
+
+void Router::EjectIfFailing(TimePoint now, Record& record) {
+  if (record.failures < kFailuresToEject) {
+    return;
+  }
+  const uint32_t rounds =
+      std::min<uint32_t>(record.failures - kFailuresToEject, 5);
+  const Duration pause = kFirstEjection * (int64_t{1} << rounds);
+  record.ejected_until = now + std::min(pause, kLongestEjection);
+}
+
+}  // namespace rosemarywinch
