--- /dev/null
+++ b/include/rosemarywinch/adapters/curl_channel.h
@@ -0,0 +1,40 @@
+#ifndef ROSEMARYWINCH_ADAPTERS_CURL_CHANNEL_H_
+#define ROSEMARYWINCH_ADAPTERS_CURL_CHANNEL_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/core/sharded.h"
+#include "rosemarywinch/interfaces/http.h"
+
+namespace rosemarywinch {
+
+/// HTTP client on libcurl. Handles, and with them connections, are kept for
+/// each address and lent to one request at a time.
+class CurlChannel : public HttpChannel {
+ public:
+  CurlChannel();
+  ~CurlChannel() override;
+
+  HttpResult Send(const std::string& address,
+                  const HttpRequest& request,
+                  const HttpSendOptions& options) override;
+
+ private:
+  struct HandleDeleter {
+    void operator()(void* handle) const;
+  };
+  using Handle = std::unique_ptr<void, HandleDeleter>;
+  using Pool = std::map<std::string, std::vector<Handle>>;
+
+  Handle Borrow(const std::string& address);
+  void GiveBack(const std::string& address, Handle handle);
+
+  Sharded<Pool> m_pools;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_ADAPTERS_CURL_CHANNEL_H_
--- /dev/null
+++ b/include/rosemarywinch/adapters/file_storage.h
@@ -0,0 +1,47 @@
+#ifndef ROSEMARYWINCH_ADAPTERS_FILE_STORAGE_H_
+#define ROSEMARYWINCH_ADAPTERS_FILE_STORAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/interfaces/storage.h"
+
+namespace rosemarywinch {
+
+/// Storage in one folder: `state`, `snapshot`, `log` and `synced`.
+///
+/// Every record has a length and a checksum. A record that a crash cut off at
+/// the end of the log was never answered for and is dropped. `synced` holds
+/// the last index that was synced: a log that ends before it has lost records
+/// that were answered for, so the folder is refused.
+class FileStorage : public Storage {
+ public:
+  explicit FileStorage(std::string folder) : m_folder(std::move(folder)) {}
+  ~FileStorage() override;
+  FileStorage(const FileStorage&) = delete;
+  FileStorage& operator=(const FileStorage&) = delete;
+
+  Result<RecoveredState> Recover() override;
+  Result<Done> SaveHardState(const HardState& state) override;
+  Result<Done> Append(const std::vector<LogEntry>& entries) override;
+  Result<Done> TruncateFrom(uint64_t index) override;
+  Result<Done> SaveSnapshot(const Snapshot& snapshot,
+                            const std::vector<LogEntry>& kept) override;
+
+ private:
+  std::string PathOf(const char* name) const;
+  Result<Done> OpenLog();
+  Result<Done> ReplaceFile(const char* name, const std::string& bytes) const;
+  Result<Done> RewriteLog(const std::vector<LogEntry>& entries);
+  Result<Done> MarkSynced(uint64_t index);
+  Result<std::vector<LogEntry>> ReadLog();
+
+  const std::string m_folder;
+  int m_log = -1;
+  int m_synced = -1;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_ADAPTERS_FILE_STORAGE_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/control_poller.h
@@ -0,0 +1,74 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_CONTROL_POLLER_H_
+#define ROSEMARYWINCH_PROGRAMS_CONTROL_POLLER_H_
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "rosemarywinch/adapters/metrics.h"
+#include "rosemarywinch/interfaces/clock.h"
+#include "rosemarywinch/programs/backend_gate.h"
+#include "rosemarywinch/programs/control_client.h"
+#include "rosemarywinch/programs/node_state.h"
+
+namespace rosemarywinch {
+
+/// Polls control: at every interval, and sooner when something is urgent, but
+/// never more often than the smallest pause.
+class ControlPoller {
+ public:
+  struct Options {
+    std::string node;
+    std::string peer_address;
+    std::string data_centre;
+    Duration interval{1000};
+  };
+
+  ControlPoller(Options options,
+                NodeState& state,
+                BackendGate& gate,
+                ControlClient& client,
+                Clock& clock,
+                Metrics& metrics);
+  ~ControlPoller();
+  ControlPoller(const ControlPoller&) = delete;
+  ControlPoller& operator=(const ControlPoller&) = delete;
+
+  void Start();
+  void Stop();
+
+  /// Asks for a poll before the interval is over.
+  void Poke();
+
+  /// Polls as leaving from now on. Returns whether control has confirmed it
+  /// within `limit`.
+  bool Leave(Duration limit);
+
+ private:
+  void PollLoop();
+  void PollOnce(bool leaving);
+  PollRequest MakeRequest(bool leaving);
+  void NoteReachable(bool reachable, const std::string& why);
+
+  const Options m_options;
+  NodeState& m_state;
+  BackendGate& m_gate;
+  ControlClient& m_client;
+  Clock& m_clock;
+  Metrics& m_metrics;
+
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  bool m_urgent = false;
+  bool m_stopping = false;
+  bool m_leaving = false;
+  bool m_left = false;
+  bool m_reachable = false;
+  uint64_t m_sequence = 0;
+  std::thread m_thread;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_CONTROL_POLLER_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/control_service.h
@@ -0,0 +1,82 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_CONTROL_SERVICE_H_
+#define ROSEMARYWINCH_PROGRAMS_CONTROL_SERVICE_H_
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "rosemarywinch/core/error.h"
+#include "rosemarywinch/core/sharded.h"
+#include "rosemarywinch/decisions/control/allowance_lender.h"
+#include "rosemarywinch/decisions/control/membership_directory.h"
+#include "rosemarywinch/decisions/control/version_ledger.h"
+#include "rosemarywinch/programs/consensus_driver.h"
+#include "rosemarywinch/schema/control.h"
+
+namespace rosemarywinch {
+
+/// What a control replica answers to nodes and operators. Leases, members and
+/// allowances are rebuilt by each leader and kept in shards under own locks.
+class ControlService : public ConsensusListener {
+ public:
+  explicit ControlService(Duration node_lease);
+
+  /// Gives the service its log; must be called before the first request.
+  void Attach(ConsensusDriver& driver) { m_driver = &driver; }
+
+  /// Answers a node's poll. Errors: kNotLeader, kProtocolVersion,
+  /// kWrongCluster.
+  Result<PollResponse> Poll(const PollRequest& request);
+
+  /// Accepts a change and waits until it is in force everywhere.
+  /// Errors: kNotLeader, kNotAccepted, kProtocolVersion.
+  Result<CommandResponse> Command(const CommandRequest& request);
+
+  /// Returns the whole state. Errors: kNotLeader, kProtocolVersion.
+  Result<StateResponse> State(const StateRequest& request);
+
+  Result<ControlStatus> Status(const ControlStatusRequest& request);
+
+  void OnLeader(TimePoint now, uint64_t term, uint64_t version) override;
+  void OnFollower(TimePoint now) override;
+  void OnApplied(TimePoint now, uint64_t version) override;
+
+ private:
+  struct Ledger {
+    explicit Ledger(Duration lease) : versions(lease) {}
+    std::mutex mutex;
+    std::condition_variable changed;
+    VersionLedger versions;
+  };
+  struct Directory {
+    explicit Directory(Duration timeout) : members(timeout) {}
+    std::mutex mutex;
+    MembershipDirectory members;
+  };
+  struct LenderShard {
+    TimePoint since;
+    std::map<std::string, AllowanceLender> lenders;
+  };
+
+  void AddConfig(const FleetState& state,
+                 uint64_t version,
+                 PollResponse& response) const;
+  void AddMembers(TimePoint now,
+                  const PollRequest& request,
+                  PollResponse& response);
+  void AddAllowances(const ConsensusDriver::LeaderView& view,
+                     const PollRequest& request,
+                     PollResponse& response);
+  CommandResponse WaitInForce(CommandResult result, Duration limit);
+
+  const Duration m_lease;
+  ConsensusDriver* m_driver = nullptr;
+  Ledger m_ledger;
+  Directory m_directory;
+  Sharded<LenderShard> m_lenders;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_CONTROL_SERVICE_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/node_state.h
@@ -0,0 +1,104 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_NODE_STATE_H_
+#define ROSEMARYWINCH_PROGRAMS_NODE_STATE_H_
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/core/sharded.h"
+#include "rosemarywinch/decisions/control/allowance_bucket.h"
+#include "rosemarywinch/decisions/traffic/route_table.h"
+#include "rosemarywinch/decisions/traffic/router.h"
+#include "rosemarywinch/interfaces/clock.h"
+#include "rosemarywinch/interfaces/random.h"
+#include "rosemarywinch/schema/control.h"
+
+namespace rosemarywinch {
+
+/// Settings, keys and routes at one version. Immutable.
+struct NodeConfig {
+  explicit NodeConfig(FleetState fleet)
+      : state(std::move(fleet)), routes(state) {}
+
+  const FleetState state;
+  const RouteTable routes;
+};
+
+/// What a node knows of the fleet: settings under a lease, members and
+/// allowances. Thread-safe; each part is a shard under its own lock.
+class NodeState {
+ public:
+  NodeState(std::string data_centre, Clock& clock, Random& random)
+      : m_data_centre(std::move(data_centre)),
+        m_clock(clock),
+        m_random(random) {}
+
+  /// Returns the settings, or null before the first poll.
+  std::shared_ptr<const NodeConfig> Config();
+
+  /// Tells whether the node may act on its settings for closed routes.
+  bool LeaseLives();
+
+  /// Fills in what the node knows and needs.
+  void FillPoll(PollRequest& request);
+
+  /// Applies an answer to a poll that was sent at `sent`. Answers of earlier
+  /// terms or of another cluster, and older versions, are passed over.
+  /// Returns false for those.
+  bool ApplyPoll(TimePoint sent, const PollResponse& response);
+
+  /// Counts a request of `account` and takes a token for it, waiting a little
+  /// for a first share. Returns how long to wait when there is none.
+  std::optional<Duration> TakeAllowance(const std::string& account);
+
+  /// Chooses a member of the service; see Router::Choose(). A service that is
+  /// asked for first is learnt from control, which takes a short wait.
+  std::optional<Member> Choose(const std::string& service,
+                               const std::set<std::string>& excluded);
+  std::optional<Member> ChooseBound(const std::string& service,
+                                    const std::string& node);
+  void FinishCall(const std::string& service,
+                  const std::string& node,
+                  CallResult result,
+                  Duration took);
+
+  /// Sets what is called when the next poll should not wait.
+  void OnUrgent(std::function<void()> poke) { m_poke = std::move(poke); }
+
+ private:
+  using Buckets = std::map<std::string, AllowanceBucket>;
+  using Routers = std::map<std::string, Router>;
+
+  void ApplyConfig(const PollResponse& response);
+  /// Calls `settled` now and after each answer of control until it returns
+  /// true, for a short while at most.
+  void RetryOnNews(const std::function<bool()>& settled);
+  uint64_t NewsCount();
+  Router& RouterOf(Routers& routers, const std::string& service);
+
+  const std::string m_data_centre;
+  Clock& m_clock;
+  Random& m_random;
+  std::function<void()> m_poke;
+
+  std::mutex m_config_mutex;
+  std::condition_variable m_news;
+  std::shared_ptr<const NodeConfig> m_config;
+  std::string m_cluster;
+  uint64_t m_term = 0;
+  uint64_t m_news_count = 0;
+  TimePoint m_lease_end;
+
+  Sharded<Buckets> m_buckets;
+  Sharded<Routers> m_routers;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_NODE_STATE_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/settings_reader.h
@@ -0,0 +1,75 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_SETTINGS_READER_H_
+#define ROSEMARYWINCH_PROGRAMS_SETTINGS_READER_H_
+
+#include <CLI/CLI.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/core/error.h"
+#include "rosemarywinch/core/text_value.h"
+
+namespace rosemarywinch {
+
+/// Prefix of the environment variables that the program reads.
+inline constexpr std::string_view kEnvironmentPrefix = "ROSEMARYWINCH_";
+
+/// Reads settings messages of the schema from flags, environment variables
+/// and an optional file, in this order of precedence. All errors of one
+/// reading are reported together.
+class SettingsReader {
+ public:
+  explicit SettingsReader(CLI::App& app);
+
+  /// Adds a flag and a variable for each field of `settings`.
+  template <typename Settings>
+  void Register(Settings& settings) {
+    VisitFields(settings, [this](const FieldInfo& field, auto& value) {
+      AddBinding(field, ToText(value), [&field, &value](std::string_view text) {
+        return AssignFromText(field, value, text);
+      });
+    });
+  }
+
+  /// Applies file, environment and flags once the command line is parsed.
+  /// Errors: kUnknownSetting, kBadValue, kSettingsFile, kMissingSetting.
+  std::vector<Error> Apply(const std::map<std::string, std::string>& env);
+
+  /// Names a field that must not be empty.
+  void Require(const std::string& name) { m_required.push_back(name); }
+
+ private:
+  struct Binding {
+    std::string name;
+    std::string text;
+    std::string default_text;
+    CLI::Option* option = nullptr;
+    std::function<Result<Done>(std::string_view)> assign;
+  };
+
+  void AddBinding(const FieldInfo& field,
+                  std::string default_text,
+                  std::function<Result<Done>(std::string_view)> assign);
+  void Assign(const std::string& name, std::string_view text);
+  void ApplyFile(const std::string& path);
+  void ApplyEnvironment(const std::map<std::string, std::string>& env);
+  void ApplyFlags();
+  void RefuseUnknown(const std::string& shown, const std::string& name);
+  Binding* Find(const std::string& name);
+
+  CLI::App& m_app;
+  std::deque<Binding> m_bindings;
+  std::string m_file;
+  std::vector<std::string> m_required;
+  std::map<std::string, std::string> m_given;
+  std::vector<Error> m_errors;
+};
+
+/// Returns the environment of this process.
+std::map<std::string, std::string> ReadEnvironment();
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_SETTINGS_READER_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/stop_signal.h
@@ -0,0 +1,41 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_STOP_SIGNAL_H_
+#define ROSEMARYWINCH_PROGRAMS_STOP_SIGNAL_H_
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include "rosemarywinch/core/time.h"
+
+namespace rosemarywinch {
+
+/// Receives SIGTERM and SIGINT. The first asks for a planned stop; the second
+/// ends the process at once. Construct before any thread is started.
+class StopSignal {
+ public:
+  StopSignal();
+  ~StopSignal();
+  StopSignal(const StopSignal&) = delete;
+  StopSignal& operator=(const StopSignal&) = delete;
+
+  /// Waits for the first signal.
+  void Wait();
+
+  /// Sets what is written before a second signal ends the process.
+  void OnSecond(std::function<void()> report);
+
+ private:
+  void Receive();
+
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  int m_received = 0;
+  bool m_closing = false;
+  std::function<void()> m_report;
+  std::thread m_thread;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_STOP_SIGNAL_H_
--- /dev/null
+++ b/src/adapters/curl_channel.cc
@@ -0,0 +1,204 @@
+#include "rosemarywinch/adapters/curl_channel.h"
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <string_view>
+#include <utility>
+
+namespace rosemarywinch {
+
+namespace {
+
+// Connections kept for one address while no request uses them.
+constexpr size_t kMaxIdlePerAddress = 64;
+constexpr long kConnectTimeoutMs = 1000;
+constexpr long kMaxIdleSeconds = 30;
+// Sent data that stays unacknowledged this long means that the connection is
+// dead, whatever the other end is doing.
+constexpr unsigned kUnacknowledgedLimitMs = 2000;
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+struct ListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+
+size_t OnBody(char* data, size_t size, size_t count, void* response) {
+  static_cast<HttpResponse*>(response)->body.append(data, size * count);
+  return size * count;
+}
+
+std::string_view Trimmed(std::string_view text) {
+  const size_t first = text.find_first_not_of(" \t");
+  const size_t last = text.find_last_not_of(" \t\r\n");
+  return first == std::string_view::npos ? std::string_view()
+                                         : text.substr(first, last - first + 1);
+}
+
+size_t OnHeader(char* data, size_t size, size_t count, void* response) {
+  const std::string_view line(data, size * count);
+  const size_t colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    static_cast<HttpResponse*>(response)->headers.Add(
+        std::string(line.substr(0, colon)),
+        std::string(Trimmed(line.substr(colon + 1))));
+  }
+  return size * count;
+}
+
+int OnProgress(void* options, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
+  const auto& wait = static_cast<const HttpSendOptions*>(options)->keep_waiting;
+  return wait && !wait() ? 1 : 0;
+}
+
+int OnSocket(void*, curl_socket_t fd, curlsocktype) {
+  const unsigned limit = kUnacknowledgedLimitMs;
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+  ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds,
+               sizeof(kKeepAliveIdleSeconds));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
+               sizeof(kKeepAliveIntervalSeconds));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+               sizeof(kKeepAliveProbes));
+  return CURL_SOCKOPT_OK;
+}
+
+HeaderList MakeHeaders(const HttpRequest& request) {
+  curl_slist* list = nullptr;
+  for (const HttpHeader& header : request.headers.all()) {
+    // libcurl drops a header without a value unless it ends in a semicolon.
+    const std::string line = header.value.empty()
+                                 ? header.name + ";"
+                                 : header.name + ": " + header.value;
+    list = curl_slist_append(list, line.c_str());
+  }
+  list = curl_slist_append(list, "Expect:");
+  list = curl_slist_append(list, "Accept-Encoding:");
+  if (request.headers.Find("User-Agent") == nullptr) {
+    list = curl_slist_append(list, "User-Agent:");
+  }
+  if (request.headers.Find("Content-Type") == nullptr) {
+    list = curl_slist_append(list, "Content-Type:");
+  }
+  if (request.headers.Find("Accept") == nullptr) {
+    list = curl_slist_append(list, "Accept:");
+  }
+  return HeaderList(list);
+}
+
+void SetBody(CURL* curl, const HttpRequest& request) {
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (request.method == "HEAD") {
+    curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+  } else if (has_body) {
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request.body.data());
+  }
+  curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+}
+
+bool LeftThisProcess(CURL* curl, CURLcode code) {
+  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) {
+    return false;
+  }
+  long sent = 0;
+  curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
+  return sent > 0;
+}
+
+}  // namespace
+
+CurlChannel::CurlChannel() {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+CurlChannel::~CurlChannel() = default;
+
+void CurlChannel::HandleDeleter::operator()(void* handle) const {
+  curl_easy_cleanup(handle);
+}
+
+HttpResult CurlChannel::Send(const std::string& address,
+                             const HttpRequest& request,
+                             const HttpSendOptions& options) {
+  Handle handle = Borrow(address);
+  CURL* curl = handle.get();
+  std::string url = "http://" + address + request.path;
+  if (!request.query.empty()) {
+    url += "?" + request.query;
+  }
+  const HeaderList headers = MakeHeaders(request);
+  HttpResponse response;
+  curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl, CURLOPT_PROXY, "");
+  curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(options.timeout.ms));
+  curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+  curl_easy_setopt(curl, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+  curl_easy_setopt(curl, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT,
+                   options.fresh_connection ? 1L : 0L);
+  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(curl, CURLOPT_WRITEDATA, &response);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &response);
+  curl_easy_setopt(curl, CURLOPT_NOPROGRESS, options.keep_waiting ? 0L : 1L);
+  curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, &OnProgress);
+  curl_easy_setopt(curl, CURLOPT_XFERINFODATA, &options);
+  SetBody(curl, request);
+  const CURLcode code = curl_easy_perform(curl);
+  if (code != CURLE_OK) {
+    Error error{ErrorId::kUnreachable,
+                address + ": " + curl_easy_strerror(code)};
+    if (LeftThisProcess(curl, code)) {
+      return AnswerLost{std::move(error)};
+    }
+    return NotSent{std::move(error)};
+  }
+  long status = 0;
+  curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+  response.status = static_cast<int>(status);
+  GiveBack(address, std::move(handle));
+  return response;
+}
+
+CurlChannel::Handle CurlChannel::Borrow(const std::string& address) {
+  Handle handle = m_pools.With(address, [&](Pool& pool) -> Handle {
+    std::vector<Handle>& idle = pool[address];
+    if (idle.empty()) {
+      return nullptr;
+    }
+    Handle kept = std::move(idle.back());
+    idle.pop_back();
+    return kept;
+  });
+  if (handle == nullptr) {
+    return Handle(curl_easy_init());
+  }
+  // Keeps the connections of the handle and forgets everything else.
+  curl_easy_reset(handle.get());
+  return handle;
+}
+
+void CurlChannel::GiveBack(const std::string& address, Handle handle) {
+  m_pools.With(address, [&](Pool& pool) {
+    std::vector<Handle>& idle = pool[address];
+    if (idle.size() < kMaxIdlePerAddress) {
+      idle.push_back(std::move(handle));
+    }
+  });
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/adapters/file_storage.cc
@@ -0,0 +1,265 @@
+#include "rosemarywinch/adapters/file_storage.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include "rosemarywinch/adapters/json_codec.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr const char* kStateFile = "state";
+constexpr const char* kSnapshotFile = "snapshot";
+constexpr const char* kLogFile = "log";
+constexpr const char* kSyncedFile = "synced";
+constexpr mode_t kFileMode = 0640;
+constexpr size_t kHeaderBytes = sizeof(uint32_t) + sizeof(uint64_t);
+
+boost::leaf::error_id FailDisk(const std::string& path) {
+  return Fail(ErrorId::kDiskFailed, path + ": " + std::strerror(errno));
+}
+
+// A record is its length, its checksum and its bytes, little endian.
+std::string Frame(const std::string& payload) {
+  const auto length = static_cast<uint32_t>(payload.size());
+  const uint64_t checksum = XXH3_64bits(payload.data(), payload.size());
+  std::string record(kHeaderBytes, '\0');
+  std::memcpy(record.data(), &length, sizeof(length));
+  std::memcpy(record.data() + sizeof(length), &checksum, sizeof(checksum));
+  return record + payload;
+}
+
+enum class FrameState { kWhole, kCutOff, kCorrupt };
+
+struct ParsedFrame {
+  FrameState state = FrameState::kCutOff;
+  std::string_view payload;
+};
+
+ParsedFrame ParseFrame(std::string_view bytes) {
+  if (bytes.size() < kHeaderBytes) {
+    return {};
+  }
+  uint32_t length = 0;
+  uint64_t checksum = 0;
+  std::memcpy(&length, bytes.data(), sizeof(length));
+  std::memcpy(&checksum, bytes.data() + sizeof(length), sizeof(checksum));
+  const std::string_view rest = bytes.substr(kHeaderBytes);
+  if (rest.size() < length) {
+    return {};
+  }
+  const std::string_view payload = rest.substr(0, length);
+  const bool intact = XXH3_64bits(payload.data(), payload.size()) == checksum;
+  return {intact ? FrameState::kWhole : FrameState::kCorrupt, payload};
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream bytes;
+  bytes << file.rdbuf();
+  return bytes.str();
+}
+
+Result<Done> WriteAll(int fd,
+                      const std::string& bytes,
+                      const std::string& path) {
+  size_t written = 0;
+  while (written < bytes.size()) {
+    const ssize_t count =
+        ::write(fd, bytes.data() + written, bytes.size() - written);
+    if (count < 0 && errno != EINTR) {
+      return FailDisk(path);
+    }
+    written += static_cast<size_t>(std::max<ssize_t>(count, 0));
+  }
+  return Done{};
+}
+
+Result<Done> SyncFolder(const std::string& folder) {
+  const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  const bool synced = fd >= 0 && ::fsync(fd) == 0;
+  ::close(fd);
+  if (!synced) {
+    return FailDisk(folder);
+  }
+  return Done{};
+}
+
+// Reads a file that holds one record; an absent file gives an empty message.
+template <typename T>
+Result<T> ReadMessage(const std::string& path) {
+  const std::optional<std::string> bytes = ReadFile(path);
+  if (!bytes) {
+    return T{};
+  }
+  const ParsedFrame frame = ParseFrame(*bytes);
+  if (frame.state != FrameState::kWhole) {
+    return Fail(ErrorId::kCorruptRecord, path);
+  }
+  return FromBinary<T>(frame.payload);
+}
+
+}  // namespace
+
+FileStorage::~FileStorage() {
+  ::close(m_log);
+  ::close(m_synced);
+}
+
+Result<RecoveredState> FileStorage::Recover() {
+  std::error_code code;
+  std::filesystem::create_directories(m_folder, code);
+  if (code || ::access(m_folder.c_str(), W_OK | X_OK) != 0) {
+    return Fail(ErrorId::kFolderNotWritable, m_folder);
+  }
+  RecoveredState recovered;
+  BOOST_LEAF_ASSIGN(recovered.hard, ReadMessage<HardState>(PathOf(kStateFile)));
+  BOOST_LEAF_ASSIGN(recovered.snapshot,
+                    ReadMessage<Snapshot>(PathOf(kSnapshotFile)));
+  BOOST_LEAF_AUTO(entries, ReadLog());
+  const uint64_t start = recovered.snapshot.last_index;
+  std::erase_if(entries,
+                [&](const LogEntry& entry) { return entry.index <= start; });
+  recovered.entries = std::move(entries);
+  const uint64_t last = start + recovered.entries.size();
+  const std::string synced = ReadFile(PathOf(kSyncedFile)).value_or("0");
+  const bool lost = std::strtoull(synced.c_str(), nullptr, 10) > last;
+  const bool gap =
+      !recovered.entries.empty() && recovered.entries.back().index != last;
+  if (lost || gap) {
+    return Fail(ErrorId::kCorruptRecord, PathOf(kLogFile) + " ends at " +
+                                             std::to_string(last) +
+                                             ", synced was " + synced);
+  }
+  if (recovered.hard.self.instance.empty() && last > 0) {
+    return Fail(ErrorId::kCorruptRecord, PathOf(kStateFile) + " is missing");
+  }
+  BOOST_LEAF_CHECK(OpenLog());
+  return recovered;
+}
+
+Result<Done> FileStorage::SaveHardState(const HardState& state) {
+  return ReplaceFile(kStateFile, Frame(ToBinary(state)));
+}
+
+Result<Done> FileStorage::Append(const std::vector<LogEntry>& entries) {
+  std::string bytes;
+  for (const LogEntry& entry : entries) {
+    bytes += Frame(ToBinary(entry));
+  }
+  BOOST_LEAF_CHECK(WriteAll(m_log, bytes, PathOf(kLogFile)));
+  if (::fdatasync(m_log) != 0) {
+    return FailDisk(PathOf(kLogFile));
+  }
+  return MarkSynced(entries.back().index);
+}
+
+Result<Done> FileStorage::TruncateFrom(uint64_t index) {
+  BOOST_LEAF_AUTO(entries, ReadLog());
+  std::erase_if(entries,
+                [&](const LogEntry& entry) { return entry.index >= index; });
+  BOOST_LEAF_CHECK(MarkSynced(index - 1));
+  return RewriteLog(entries);
+}
+
+Result<Done> FileStorage::SaveSnapshot(const Snapshot& snapshot,
+                                       const std::vector<LogEntry>& kept) {
+  BOOST_LEAF_CHECK(ReplaceFile(kSnapshotFile, Frame(ToBinary(snapshot))));
+  BOOST_LEAF_CHECK(RewriteLog(kept));
+  return MarkSynced(snapshot.last_index + kept.size());
+}
+
+std::string FileStorage::PathOf(const char* name) const {
+  return m_folder + "/" + name;
+}
+
+Result<Done> FileStorage::OpenLog() {
+  ::close(m_log);
+  ::close(m_synced);
+  const int flags = O_WRONLY | O_CREAT | O_CLOEXEC;
+  m_log = ::open(PathOf(kLogFile).c_str(), flags | O_APPEND, kFileMode);
+  m_synced = ::open(PathOf(kSyncedFile).c_str(), flags, kFileMode);
+  if (m_log < 0 || m_synced < 0) {
+    return Fail(ErrorId::kFolderNotWritable, m_folder);
+  }
+  return SyncFolder(m_folder);
+}
+
+Result<Done> FileStorage::ReplaceFile(const char* name,
+                                      const std::string& bytes) const {
+  const std::string path = PathOf(name);
+  const std::string fresh = path + ".new";
+  const int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+                        kFileMode);
+  if (fd < 0) {
+    return FailDisk(fresh);
+  }
+  Outcome<Done> written = Capture([&] { return WriteAll(fd, bytes, fresh); });
+  const bool synced = ::fsync(fd) == 0;
+  ::close(fd);
+  BOOST_LEAF_CHECK(Release(std::move(written)));
+  if (!synced || ::rename(fresh.c_str(), path.c_str()) != 0) {
+    return FailDisk(path);
+  }
+  return SyncFolder(m_folder);
+}
+
+Result<Done> FileStorage::RewriteLog(const std::vector<LogEntry>& entries) {
+  std::string bytes;
+  for (const LogEntry& entry : entries) {
+    bytes += Frame(ToBinary(entry));
+  }
+  BOOST_LEAF_CHECK(ReplaceFile(kLogFile, bytes));
+  return OpenLog();
+}
+
+Result<Done> FileStorage::MarkSynced(uint64_t index) {
+  // Fixed width, so that an overwrite never leaves digits of an older value.
+  char text[24];
+  const int length = std::snprintf(text, sizeof(text), "%020llu",
+                                   static_cast<unsigned long long>(index));
+  if (::pwrite(m_synced, text, static_cast<size_t>(length), 0) != length) {
+    return FailDisk(PathOf(kSyncedFile));
+  }
+  return Done{};
+}
+
+Result<std::vector<LogEntry>> FileStorage::ReadLog() {
+  std::vector<LogEntry> entries;
+  const std::string path = PathOf(kLogFile);
+  const std::string bytes = ReadFile(path).value_or("");
+  std::string_view rest = bytes;
+  while (!rest.empty()) {
+    const ParsedFrame frame = ParseFrame(rest);
+    const size_t size = kHeaderBytes + frame.payload.size();
+    const bool at_end = size == rest.size();
+    if (frame.state == FrameState::kCorrupt && !at_end) {
+      return Fail(ErrorId::kCorruptRecord, path);
+    }
+    if (frame.state != FrameState::kWhole) {
+      std::error_code code;
+      std::filesystem::resize_file(path, bytes.size() - rest.size(), code);
+      break;
+    }
+    BOOST_LEAF_AUTO(entry, FromBinary<LogEntry>(frame.payload));
+    entries.push_back(std::move(entry));
+    rest.remove_prefix(size);
+  }
+  return entries;
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/adapters/json_rpc.cc
@@ -0,0 +1,92 @@
+#include "rosemarywinch/adapters/json_rpc.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr const char* kVersion = "2.0";
+
+Json EncodeError(const Error& error) {
+  return {{"code", static_cast<int>(error.id)},
+          {"message", error.Message()},
+          {"data", error.detail}};
+}
+
+Error DecodeError(const Json& error) {
+  const int code = error.value("code", 0);
+  for (const auto& entry : kErrorIdTable) {
+    if (static_cast<int>(entry.value) == code) {
+      return {entry.value, error.value("data", std::string())};
+    }
+  }
+  return {ErrorId::kMalformedMessage, "unknown error " + std::to_string(code)};
+}
+
+}  // namespace
+
+HttpResponse JsonRpcServer::Handle(const HttpRequest& request) const {
+  Json answer = {{"jsonrpc", kVersion}, {"id", nullptr}};
+  const Outcome<Json> outcome = Capture([&]() -> Result<Json> {
+    BOOST_LEAF_AUTO(call, ParseJson(request.body));
+    if (!call.is_object()) {
+      return Fail(ErrorId::kMalformedMessage, "call is not an object");
+    }
+    answer["id"] = call.value("id", Json());
+    return Dispatch(call);
+  });
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    answer["error"] = EncodeError(*error);
+  } else {
+    answer["result"] = std::get<Json>(outcome);
+  }
+  HttpResponse response;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = answer.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return response;
+}
+
+Result<Json> JsonRpcServer::Dispatch(const Json& call) const {
+  const auto name = call.find("method");
+  const bool named = name != call.end() && name->is_string();
+  const auto method =
+      named ? m_methods.find(name->get<std::string>()) : m_methods.end();
+  if (method == m_methods.end()) {
+    return Fail(ErrorId::kMalformedMessage, "unknown method");
+  }
+  return method->second(call.value("params", Json::object()));
+}
+
+Result<Json> CallJsonRpc(HttpChannel& channel,
+                         const std::string& address,
+                         const std::string& method,
+                         Json params,
+                         Duration timeout) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = kRpcPath;
+  request.headers.Add("Content-Type", "application/json");
+  request.body = Json{{"jsonrpc", kVersion},
+                      {"id", 1},
+                      {"method", method},
+                      {"params", std::move(params)}}
+                     .dump(-1, ' ', false, Json::error_handler_t::replace);
+  HttpSendOptions options;
+  options.timeout = timeout;
+  HttpResult result = channel.Send(address, request, options);
+  if (const auto* unsent = std::get_if<NotSent>(&result)) {
+    return boost::leaf::new_error(unsent->error);
+  }
+  if (const auto* lost = std::get_if<AnswerLost>(&result)) {
+    return boost::leaf::new_error(lost->error);
+  }
+  BOOST_LEAF_AUTO(answer, ParseJson(std::get<HttpResponse>(result).body));
+  if (answer.is_object() && answer.contains("error")) {
+    return boost::leaf::new_error(DecodeError(answer["error"]));
+  }
+  if (!answer.is_object() || !answer.contains("result")) {
+    return Fail(ErrorId::kMalformedMessage, "answer without a result");
+  }
+  return std::move(answer["result"]);
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/backend_gate.cc
@@ -0,0 +1,297 @@
+#include "rosemarywinch/programs/backend_gate.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/decisions/traffic/headers.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr size_t kContextBytes = 16;
+constexpr size_t kNonceBytes = 12;
+constexpr int kServiceUnavailable = 503;
+
+// Removes what only nodes and callers may say to each other.
+void StripHeaders(HttpHeaders& headers) {
+  for (const auto& name :
+       {headers::kContext, headers::kTimeout, headers::kHop,
+        headers::kRequestId, std::string("Authorization"),
+        std::string("Connection"), std::string("Content-Length"),
+        std::string("Transfer-Encoding"), std::string("Host")}) {
+    headers.Remove(name);
+  }
+}
+
+std::string Fingerprint(const HttpRequest& request) {
+  const size_t body = std::hash<std::string>{}(request.body);
+  return request.method + " " + request.path + "?" + request.query + " " +
+         std::to_string(body);
+}
+
+// Marks an attempt as in progress while the object lives.
+class AttemptMark {
+ public:
+  AttemptMark(Sharded<std::set<std::string>>& attempts, std::string attempt)
+      : m_attempts(attempts), m_attempt(std::move(attempt)) {
+    m_attempts.With(m_attempt, [&](auto& set) { set.insert(m_attempt); });
+  }
+  ~AttemptMark() {
+    m_attempts.With(m_attempt, [&](auto& set) { set.erase(m_attempt); });
+  }
+  AttemptMark(const AttemptMark&) = delete;
+  AttemptMark& operator=(const AttemptMark&) = delete;
+
+ private:
+  Sharded<std::set<std::string>>& m_attempts;
+  const std::string m_attempt;
+};
+
+}  // namespace
+
+BackendGate::BackendGate(std::string node,
+                         const NodeSettings& settings,
+                         Clock& clock,
+                         Random& random,
+                         HttpChannel& channel)
+    : m_node(node),
+      m_settings(settings),
+      m_clock(clock),
+      m_random(random),
+      m_channel(channel),
+      m_queue(MakeLimit(settings.limit_policy, 1), settings.queue_length),
+      m_ledger(std::move(node), settings.record_window) {}
+
+CallReport BackendGate::Run(const HopEnvelope& envelope, HttpRequest request) {
+  const AttemptMark mark(m_attempts, envelope.attempt);
+  const TimePoint deadline = m_clock.Now() + envelope.timeout;
+  if (auto error = CheckBackend(envelope)) {
+    return Refuse(envelope, std::move(*error));
+  }
+  return envelope.at_most_once
+             ? RunOnce(envelope, std::move(request), deadline)
+             : RunAdmitted(envelope, std::move(request), deadline);
+}
+
+bool BackendGate::Announce(const Announcement& announcement) {
+  bool changed = false;
+  bool resized = false;
+  {
+    std::scoped_lock lock(m_backend_mutex);
+    const Announcement before = m_backend ? m_backend->last : Announcement{};
+    changed = before.service != announcement.service ||
+              before.address != announcement.address ||
+              before.state != announcement.state;
+    resized = before.slots != announcement.slots;
+    m_backend = {announcement, m_clock.Now()};
+  }
+  if (resized) {
+    std::scoped_lock lock(m_queue_mutex);
+    Deliver(m_queue.SetLimit(
+        m_clock.Now(), MakeLimit(m_settings.limit_policy, announcement.slots)));
+  }
+  if (changed) {
+    LogChange(LogLevel::kInfo, "backend_state",
+              {{"service", announcement.service},
+               {"address", announcement.address},
+               {"state", std::string(NameOf(announcement.state))}});
+  }
+  return changed;
+}
+
+Announcement BackendGate::Backend() {
+  std::scoped_lock lock(m_backend_mutex);
+  if (!m_backend) {
+    return {};
+  }
+  Announcement announcement = m_backend->last;
+  if (m_clock.Now() >= m_backend->heard + m_settings.announce_timeout) {
+    announcement.state = BackendState::kSilent;
+  }
+  return announcement;
+}
+
+std::optional<std::string> BackendGate::IssueId(const std::string& service,
+                                                const std::string& account) {
+  if (m_draining || Backend().service != service) {
+    return std::nullopt;
+  }
+  return m_ledger.Issue(m_clock.Now(), service, account,
+                        m_random.Hex(kNonceBytes));
+}
+
+bool BackendGate::Fence(const std::string& id) {
+  return m_ledger.Fence(m_clock.Now(), id);
+}
+
+bool BackendGate::IsRunning(const std::string& attempt) {
+  return m_attempts.With(attempt, [&](const auto& attempts) {
+    return attempts.contains(attempt);
+  });
+}
+
+uint32_t BackendGate::InFlight() {
+  std::scoped_lock lock(m_queue_mutex);
+  return m_queue.in_flight();
+}
+
+uint32_t BackendGate::Limit() {
+  std::scoped_lock lock(m_queue_mutex);
+  return m_queue.limit();
+}
+
+size_t BackendGate::Waiting() {
+  std::scoped_lock lock(m_queue_mutex);
+  return m_queue.waiting();
+}
+
+CallReport BackendGate::Refuse(const HopEnvelope& envelope,
+                               Error error,
+                               Duration retry_after) const {
+  CallReport report;
+  report.outcome = NotRun{std::move(error), retry_after};
+  report.retries_left = envelope.retries;
+  return report;
+}
+
+std::optional<Error> BackendGate::CheckBackend(const HopEnvelope& envelope) {
+  if (m_draining) {
+    return Error{ErrorId::kDraining, m_node};
+  }
+  const Announcement backend = Backend();
+  const bool serves = backend.service == envelope.service &&
+                      (backend.state == BackendState::kReady ||
+                       backend.state == BackendState::kStarting);
+  if (!serves) {
+    return Error{ErrorId::kNoBackend, envelope.service + " at " + m_node};
+  }
+  return std::nullopt;
+}
+
+CallReport BackendGate::RunOnce(const HopEnvelope& envelope,
+                                HttpRequest request,
+                                TimePoint deadline) {
+  const std::string& id = envelope.request_id;
+  LedgerAnswer answer = m_ledger.Begin(m_clock.Now(), id, Fingerprint(request));
+  if (auto* before = std::get_if<RanBefore>(&answer)) {
+    CallReport report;
+    report.outcome = Ran{std::move(before->answer)};
+    report.retries_left = envelope.retries;
+    return report;
+  }
+  if (auto* refused = std::get_if<NotRunnable>(&answer)) {
+    const bool unknown = refused->error.id == ErrorId::kOutcomeUnknown ||
+                         refused->error.id == ErrorId::kStillRunning;
+    CallReport report = Refuse(envelope, refused->error);
+    if (unknown) {
+      report.outcome = UnknownOutcome{refused->error};
+    }
+    return report;
+  }
+  CallReport report = RunAdmitted(envelope, std::move(request), deadline);
+  std::visit(
+      Overloaded{[&](const Ran& ran) { m_ledger.Finish(id, ran.response); },
+                 [&](const NotRun&) { m_ledger.Forget(id); },
+                 [&](const UnknownOutcome&) { m_ledger.MarkUnknown(id); }},
+      report.outcome);
+  return report;
+}
+
+CallReport BackendGate::RunAdmitted(const HopEnvelope& envelope,
+                                    HttpRequest request,
+                                    TimePoint deadline) {
+  const Admission admission = Admit(envelope, deadline);
+  if (admission.verdict != Verdict::kRun) {
+    std::scoped_lock lock(m_queue_mutex);
+    return Refuse(envelope, {admission.reason, envelope.service},
+                  m_queue.ExpectedWait());
+  }
+  CallSample sample;
+  CallReport report =
+      CallBackend(envelope, std::move(request), deadline, sample);
+  FinishCall(sample);
+  return report;
+}
+
+CallReport BackendGate::CallBackend(const HopEnvelope& envelope,
+                                    HttpRequest request,
+                                    TimePoint deadline,
+                                    CallSample& sample) {
+  const TimePoint start = m_clock.Now();
+  const std::string context = m_random.Hex(kContextBytes);
+  m_contexts.Open(context, envelope, deadline);
+  HttpSendOptions options;
+  options.timeout = std::max(deadline - start, Duration{1});
+  options.fresh_connection = envelope.at_most_once;
+  StripHeaders(request.headers);
+  request.headers.Add(headers::kContext, context);
+  request.headers.Add(headers::kTimeout, std::to_string(options.timeout.ms));
+  request.headers.Add(headers::kRequestId, envelope.request_id);
+  HttpResult result = m_channel.Send(Backend().address, request, options);
+  const RequestContexts::Closed closed = m_contexts.Close(context);
+  CallReport report;
+  report.backend_time = m_clock.Now() - start;
+  report.retries_left = closed.retries_left;
+  sample.service_ms =
+      static_cast<double>((report.backend_time - closed.nested_time).ms);
+  std::visit(Overloaded{[&](HttpResponse& response) {
+                          sample.failed =
+                              response.status == kServiceUnavailable;
+                          report.outcome = Ran{std::move(response)};
+                        },
+                        [&](const NotSent& unsent) {
+                          sample.failed = true;
+                          report.outcome = NotRun{unsent.error, {}};
+                        },
+                        [&](const AnswerLost& lost) {
+                          sample.failed = true;
+                          report.outcome = UnknownOutcome{
+                              {ErrorId::kBackendFailed, lost.error.detail}};
+                        }},
+             result);
+  return report;
+}
+
+Admission BackendGate::Admit(const HopEnvelope& envelope, TimePoint deadline) {
+  std::unique_lock lock(m_queue_mutex);
+  Ticket ticket;
+  ticket.id = ++m_next_ticket;
+  ticket.request_class = envelope.request_class;
+  ticket.account = envelope.account;
+  ticket.weight = envelope.weight;
+  ticket.nested = envelope.nested;
+  ticket.deadline = deadline;
+  Waiter waiter;
+  const uint64_t id = ticket.id;
+  m_waiters[id] = &waiter;
+  const TimePoint now = m_clock.Now();
+  Deliver(m_queue.Offer(now, std::move(ticket)));
+  waiter.decided.wait_for(lock, std::chrono::milliseconds((deadline - now).ms),
+                          [&] { return waiter.admission.has_value(); });
+  m_waiters.erase(id);
+  if (!waiter.admission) {
+    m_queue.Withdraw(id);
+    return {id, Verdict::kRefuse, ErrorId::kDeadlinePassed};
+  }
+  return *waiter.admission;
+}
+
+void BackendGate::Deliver(const std::vector<Admission>& admissions) {
+  for (const Admission& admission : admissions) {
+    const auto found = m_waiters.find(admission.ticket);
+    if (admission.verdict != Verdict::kWait && found != m_waiters.end()) {
+      found->second->admission = admission;
+      found->second->decided.notify_one();
+    }
+  }
+}
+
+void BackendGate::FinishCall(const CallSample& sample) {
+  std::scoped_lock lock(m_queue_mutex);
+  Deliver(m_queue.Finish(m_clock.Now(), sample));
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/consensus_driver.cc
@@ -0,0 +1,230 @@
+#include "rosemarywinch/programs/consensus_driver.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <utility>
+
+#include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/decisions/fleet/fleet_store.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr size_t kInstanceBytes = 8;
+constexpr int kDiskFailureExit = 74;
+constexpr int64_t kTicksPerHeartbeat = 3;
+
+// A replica whose disk fails must neither vote nor answer any more.
+void StopOnDiskFailure(const Outcome<Done>& outcome) {
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    LogChange(LogLevel::kError, "disk_failed", {{"error", error->Message()}});
+    std::_Exit(kDiskFailureExit);
+  }
+}
+
+}  // namespace
+
+ConsensusDriver::ConsensusDriver(Options options,
+                                 Clock& clock,
+                                 Random& random,
+                                 Storage& storage,
+                                 PeerTransport& transport,
+                                 ConsensusListener& listener)
+    : m_options(std::move(options)),
+      m_clock(clock),
+      m_random(random),
+      m_storage(storage),
+      m_transport(transport),
+      m_listener(listener) {}
+
+ConsensusDriver::~ConsensusDriver() {
+  Stop();
+}
+
+Result<Done> ConsensusDriver::Start() {
+  BOOST_LEAF_AUTO(recovered, m_storage.Recover());
+  if (recovered.hard.self.instance.empty()) {
+    recovered.hard.self = {m_options.replica.replica_id,
+                           m_random.Hex(kInstanceBytes)};
+    BOOST_LEAF_CHECK(m_storage.SaveHardState(recovered.hard));
+    LogChange(LogLevel::kInfo, "new_data_folder",
+              {{"instance", recovered.hard.self.instance}});
+  }
+  std::scoped_lock lock(m_mutex);
+  m_replica = std::make_unique<consensus::Replica>(
+      m_options.replica, std::move(recovered), m_random, m_clock.Now());
+  m_ticker = std::thread([this] { TickLoop(); });
+  return Done{};
+}
+
+void ConsensusDriver::Stop() {
+  {
+    std::scoped_lock lock(m_mutex);
+    m_stopping = true;
+    m_changed.notify_all();
+  }
+  if (m_ticker.joinable()) {
+    m_ticker.join();
+  }
+}
+
+void ConsensusDriver::TickLoop() {
+  const std::chrono::milliseconds pause(m_options.replica.heartbeat.ms /
+                                        kTicksPerHeartbeat);
+  std::unique_lock lock(m_mutex);
+  while (!m_stopping) {
+    CarryOut(m_replica->Tick(m_clock.Now()));
+    CompactIfLong();
+    const auto due = std::chrono::steady_clock::now() + pause;
+    m_changed.wait_until(lock, due, [this] { return m_stopping; });
+  }
+}
+
+void ConsensusDriver::Receive(const PeerMessage& message) {
+  std::scoped_lock lock(m_mutex);
+  if (!m_stopping && m_replica != nullptr) {
+    CarryOut(m_replica->Receive(m_clock.Now(), message));
+  }
+}
+
+Result<CommandResult> ConsensusDriver::Submit(FleetCommand command,
+                                              Duration limit) {
+  std::unique_lock lock(m_mutex);
+  consensus::Effects effects;
+  const auto position =
+      m_replica->Propose(m_clock.Now(), std::move(command), effects);
+  if (!position) {
+    return boost::leaf::new_error(NotLeader());
+  }
+  Waiter waiter;
+  waiter.term = position->term;
+  m_waiters[position->index] = &waiter;
+  CarryOut(std::move(effects));
+  m_changed.wait_for(lock, std::chrono::milliseconds(limit.ms), [&] {
+    return waiter.result || waiter.lost || m_stopping;
+  });
+  if (const auto found = m_waiters.find(position->index);
+      found != m_waiters.end() && found->second == &waiter) {
+    m_waiters.erase(found);
+  }
+  if (!waiter.result) {
+    return Fail(ErrorId::kNotAccepted,
+                "no quorum answered in time, or the leader changed");
+  }
+  return *waiter.result;
+}
+
+Result<ConsensusDriver::LeaderView> ConsensusDriver::ReadAsLeader() {
+  std::scoped_lock lock(m_mutex);
+  const TimePoint now = m_clock.Now();
+  if (!m_replica->MayServe(now)) {
+    return boost::leaf::new_error(NotLeader());
+  }
+  if (m_published == nullptr) {
+    m_published = std::make_shared<const FleetState>(m_state);
+  }
+  return LeaderView{now, m_replica->hard_state().cluster, m_replica->term(),
+                    m_published};
+}
+
+ControlStatus ConsensusDriver::Status() {
+  std::scoped_lock lock(m_mutex);
+  const auto& log = m_replica->log();
+  ControlStatus status;
+  status.replica_id = m_options.replica.replica_id;
+  status.instance = m_replica->hard_state().self.instance;
+  status.cluster = m_replica->hard_state().cluster;
+  status.leader = m_replica->MayServe(m_clock.Now());
+  status.leader_id = m_replica->leader_id().value_or(0);
+  status.term = m_replica->term();
+  status.last_index = log.LastIndex();
+  status.commit_index = m_replica->commit_index();
+  status.snapshot_index = log.snapshot().last_index;
+  status.version = m_state.version;
+  status.voters = static_cast<uint32_t>(log.Voters().size());
+  status.voter = m_replica->IsVoter();
+  return status;
+}
+
+void ConsensusDriver::CarryOut(consensus::Effects effects) {
+  for (const consensus::Effect& effect : effects) {
+    std::visit([this](const auto& kind) { CarryOut(kind); }, effect);
+  }
+}
+
+void ConsensusDriver::CarryOut(const consensus::SaveHardState& effect) {
+  StopOnDiskFailure(
+      Capture([&] { return m_storage.SaveHardState(effect.state); }));
+}
+
+void ConsensusDriver::CarryOut(const consensus::AppendEntries& effect) {
+  StopOnDiskFailure(Capture([&] { return m_storage.Append(effect.entries); }));
+}
+
+void ConsensusDriver::CarryOut(const consensus::TruncateEntries& effect) {
+  StopOnDiskFailure(
+      Capture([&] { return m_storage.TruncateFrom(effect.from); }));
+}
+
+void ConsensusDriver::CarryOut(const consensus::SaveSnapshot& effect) {
+  StopOnDiskFailure(Capture(
+      [&] { return m_storage.SaveSnapshot(effect.snapshot, effect.kept); }));
+}
+
+void ConsensusDriver::CarryOut(const consensus::SendMessage& effect) {
+  m_transport.Send(effect.message);
+}
+
+void ConsensusDriver::CarryOut(const consensus::ApplyCommand& effect) {
+  CommandResult result = rosemarywinch::ApplyCommand(m_state, effect.command);
+  m_published.reset();
+  m_listener.OnApplied(m_clock.Now(), m_state.version);
+  const auto found = m_waiters.find(effect.index);
+  if (found == m_waiters.end()) {
+    return;
+  }
+  Waiter& waiter = *found->second;
+  if (m_replica->log().TermAt(effect.index) == waiter.term) {
+    waiter.result = std::move(result);
+  } else {
+    waiter.lost = true;
+  }
+  m_changed.notify_all();
+}
+
+void ConsensusDriver::CarryOut(const consensus::RestoreState& effect) {
+  m_state = effect.state;
+  m_published.reset();
+  m_listener.OnApplied(m_clock.Now(), m_state.version);
+}
+
+void ConsensusDriver::CarryOut(const consensus::RoleChanged& effect) {
+  const TimePoint now = m_clock.Now();
+  LogChange(LogLevel::kInfo, effect.leader ? "leader" : "follower",
+            {{"term", std::to_string(effect.term)}});
+  if (effect.leader) {
+    m_listener.OnLeader(now, effect.term, m_state.version);
+    return;
+  }
+  m_listener.OnFollower(now);
+  for (auto& [index, waiter] : m_waiters) {
+    waiter->lost = true;
+  }
+  m_changed.notify_all();
+}
+
+void ConsensusDriver::CompactIfLong() {
+  const auto& log = m_replica->log();
+  const uint64_t commit = m_replica->commit_index();
+  if (commit >= log.snapshot().last_index + m_options.snapshot_entries) {
+    CarryOut(m_replica->Compact(commit, m_state));
+  }
+}
+
+Error ConsensusDriver::NotLeader() const {
+  const auto leader = m_replica->leader_id();
+  return {ErrorId::kNotLeader, leader ? std::to_string(*leader) : ""};
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/control_poller.cc
@@ -0,0 +1,125 @@
+#include "rosemarywinch/programs/control_poller.h"
+
+#include <chrono>
+#include <utility>
+
+#include "rosemarywinch/adapters/log.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr std::chrono::milliseconds kSmallestPause{100};
+constexpr Duration kPollTimeout{1500};
+
+}  // namespace
+
+ControlPoller::ControlPoller(Options options,
+                             NodeState& state,
+                             BackendGate& gate,
+                             ControlClient& client,
+                             Clock& clock,
+                             Metrics& metrics)
+    : m_options(std::move(options)),
+      m_state(state),
+      m_gate(gate),
+      m_client(client),
+      m_clock(clock),
+      m_metrics(metrics) {}
+
+ControlPoller::~ControlPoller() {
+  Stop();
+}
+
+void ControlPoller::Start() {
+  m_thread = std::thread([this] { PollLoop(); });
+}
+
+void ControlPoller::Stop() {
+  {
+    std::scoped_lock lock(m_mutex);
+    m_stopping = true;
+    m_changed.notify_all();
+  }
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void ControlPoller::Poke() {
+  std::scoped_lock lock(m_mutex);
+  m_urgent = true;
+  m_changed.notify_all();
+}
+
+bool ControlPoller::Leave(Duration limit) {
+  std::unique_lock lock(m_mutex);
+  m_leaving = true;
+  m_urgent = true;
+  m_changed.notify_all();
+  return m_changed.wait_for(lock, std::chrono::milliseconds(limit.ms),
+                            [this] { return m_left || m_stopping; });
+}
+
+void ControlPoller::PollLoop() {
+  std::unique_lock lock(m_mutex);
+  while (!m_stopping) {
+    const bool leaving = m_leaving;
+    m_urgent = false;
+    lock.unlock();
+    PollOnce(leaving);
+    lock.lock();
+    m_left = m_left || (leaving && m_reachable);
+    m_changed.notify_all();
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds interval(m_options.interval.ms);
+    m_changed.wait_until(lock, now + kSmallestPause,
+                         [this] { return m_stopping; });
+    m_changed.wait_until(lock, now + interval,
+                         [this] { return m_stopping || m_urgent; });
+  }
+}
+
+void ControlPoller::PollOnce(bool leaving) {
+  const TimePoint sent = m_clock.Now();
+  const PollRequest request = MakeRequest(leaving);
+  const Outcome<PollResponse> outcome = Capture([&] {
+    return m_client.Call<PollResponse>("node.poll", request, kPollTimeout);
+  });
+  m_metrics.Add("control_polls_total");
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    m_metrics.Add("control_poll_failures_total");
+    NoteReachable(false, error->Message());
+    return;
+  }
+  const auto& response = std::get<PollResponse>(outcome);
+  const bool applied = response.sequence == request.sequence &&
+                       m_state.ApplyPoll(sent, response);
+  NoteReachable(applied, applied ? "" : "answer of an earlier leader");
+}
+
+PollRequest ControlPoller::MakeRequest(bool leaving) {
+  const Announcement backend = m_gate.Backend();
+  PollRequest request;
+  m_state.FillPoll(request);
+  request.node = m_options.node;
+  request.sequence = ++m_sequence;
+  request.leaving = leaving;
+  request.member.node = m_options.node;
+  request.member.address = m_options.peer_address;
+  request.member.data_centre = m_options.data_centre;
+  request.member.service = backend.service;
+  request.member.state = backend.state;
+  request.member.slots = backend.slots;
+  return request;
+}
+
+void ControlPoller::NoteReachable(bool reachable, const std::string& why) {
+  std::scoped_lock lock(m_mutex);
+  if (std::exchange(m_reachable, reachable) != reachable) {
+    LogChange(LogLevel::kInfo, reachable ? "control_reached" : "control_lost",
+              {{"why", why}});
+  }
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/control_service.cc
@@ -0,0 +1,191 @@
+#include "rosemarywinch/programs/control_service.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "rosemarywinch/decisions/control/lease.h"
+#include "rosemarywinch/decisions/fleet/fleet_store.h"
+#include "rosemarywinch/decisions/fleet/policy.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr Duration kAcceptLimit{5000};
+constexpr std::chrono::milliseconds kInForceCheck{100};
+
+Result<Done> CheckProtocol(uint32_t version) {
+  if (version != consensus::kProtocolVersion) {
+    return Fail(ErrorId::kProtocolVersion,
+                "got " + std::to_string(version) + ", want " +
+                    std::to_string(consensus::kProtocolVersion));
+  }
+  return Done{};
+}
+
+}  // namespace
+
+ControlService::ControlService(Duration node_lease)
+    : m_lease(node_lease),
+      m_ledger(node_lease),
+      m_directory(LessorWait(node_lease)) {}
+
+Result<PollResponse> ControlService::Poll(const PollRequest& request) {
+  BOOST_LEAF_CHECK(CheckProtocol(request.protocol_version));
+  BOOST_LEAF_AUTO(view, m_driver->ReadAsLeader());
+  if (!request.cluster.empty() && request.cluster != view.cluster) {
+    return Fail(ErrorId::kWrongCluster, request.cluster);
+  }
+  if (request.config_version > view.state->version) {
+    return Fail(ErrorId::kWrongCluster, "the node is ahead of control");
+  }
+  PollResponse response;
+  response.cluster = view.cluster;
+  response.term = view.term;
+  response.sequence = request.sequence;
+  response.lease = m_lease;
+  AddConfig(*view.state, request.config_version, response);
+  AddMembers(view.now, request, response);
+  AddAllowances(view, request, response);
+  std::scoped_lock lock(m_ledger.mutex);
+  m_ledger.versions.OnPoll(view.now, request.node, request.config_version);
+  m_ledger.changed.notify_all();
+  return response;
+}
+
+Result<CommandResponse> ControlService::Command(const CommandRequest& request) {
+  BOOST_LEAF_CHECK(CheckProtocol(request.protocol_version));
+  BOOST_LEAF_AUTO(result, m_driver->Submit(request.command, kAcceptLimit));
+  if (result.error != ErrorId::kNone) {
+    return CommandResponse{std::move(result), false, 0};
+  }
+  return WaitInForce(std::move(result), request.wait);
+}
+
+Result<StateResponse> ControlService::State(const StateRequest& request) {
+  BOOST_LEAF_CHECK(CheckProtocol(request.protocol_version));
+  BOOST_LEAF_AUTO(view, m_driver->ReadAsLeader());
+  return StateResponse{*view.state};
+}
+
+Result<ControlStatus> ControlService::Status(const ControlStatusRequest&) {
+  ControlStatus status = m_driver->Status();
+  if (status.leader) {
+    // Time is taken from the leader's own clock through a fresh read.
+    BOOST_LEAF_AUTO(view, m_driver->ReadAsLeader());
+    {
+      std::scoped_lock lock(m_ledger.mutex);
+      status.in_force_version = m_ledger.versions.InForce(view.now);
+    }
+    std::scoped_lock lock(m_directory.mutex);
+    m_directory.members.ExpireSilent(view.now);
+    status.members = m_directory.members.Members();
+  }
+  return status;
+}
+
+void ControlService::OnLeader(TimePoint now, uint64_t term, uint64_t version) {
+  {
+    std::scoped_lock lock(m_ledger.mutex);
+    m_ledger.versions.Reset(now, version);
+  }
+  {
+    std::scoped_lock lock(m_directory.mutex);
+    m_directory.members.Reset(now, term);
+  }
+  m_lenders.ForEach([&](LenderShard& shard) {
+    shard.since = now;
+    shard.lenders.clear();
+  });
+}
+
+void ControlService::OnFollower(TimePoint) {
+  m_ledger.changed.notify_all();
+}
+
+void ControlService::OnApplied(TimePoint now, uint64_t version) {
+  std::scoped_lock lock(m_ledger.mutex);
+  m_ledger.versions.OnApplied(now, version);
+  m_ledger.changed.notify_all();
+}
+
+void ControlService::AddConfig(const FleetState& state,
+                               uint64_t version,
+                               PollResponse& response) const {
+  response.config_version = state.version;
+  if (version == state.version) {
+    return;
+  }
+  auto commands = CommandsAfter(state, version);
+  if (commands && version > 0) {
+    response.commands = std::move(*commands);
+    return;
+  }
+  FleetState copy;
+  copy.version = state.version;
+  copy.tree = state.tree;
+  copy.keys = state.keys;
+  response.state = std::move(copy);
+}
+
+void ControlService::AddMembers(TimePoint now,
+                                const PollRequest& request,
+                                PollResponse& response) {
+  std::scoped_lock lock(m_directory.mutex);
+  m_directory.members.ExpireSilent(now);
+  m_directory.members.OnPoll(now, request.member, request.leaving);
+  for (const ServiceCursor& cursor : request.services) {
+    ServiceUpdate update = m_directory.members.UpdateSince(now, cursor);
+    const bool news = update.complete || !update.members.empty() ||
+                      !update.removed.empty() ||
+                      update.revision != cursor.revision;
+    if (news) {
+      response.services.push_back(std::move(update));
+    }
+  }
+}
+
+void ControlService::AddAllowances(const ConsensusDriver::LeaderView& view,
+                                   const PollRequest& request,
+                                   PollResponse& response) {
+  for (const AllowanceReport& report : request.allowances) {
+    const EffectivePolicy policy =
+        EffectiveAt(*view.state, TreePath{"", "", report.account});
+    const AllowanceLimit limit{*policy.settings.rate, *policy.settings.burst};
+    m_lenders.With(report.account, [&](LenderShard& shard) {
+      AllowanceLender& lender =
+          shard.lenders.try_emplace(report.account, shard.since, m_lease)
+              .first->second;
+      response.allowances.push_back(
+          lender.OnReport(view.now, limit, request.node, report));
+    });
+  }
+}
+
+CommandResponse ControlService::WaitInForce(CommandResult result,
+                                            Duration limit) {
+  const auto deadline =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(limit.ms);
+  CommandResponse response{std::move(result), false, 0};
+  const uint64_t version = response.result.version;
+  while (true) {
+    const auto view = Capture([&] { return m_driver->ReadAsLeader(); });
+    const auto* leader = std::get_if<ConsensusDriver::LeaderView>(&view);
+    if (leader == nullptr) {
+      return response;
+    }
+    std::unique_lock lock(m_ledger.mutex);
+    const TimePoint now = leader->now;
+    response.in_force = m_ledger.versions.InForce(now) >= version;
+    response.pending_nodes =
+        static_cast<uint32_t>(m_ledger.versions.PendingNodes(now, version));
+    if (response.in_force || std::chrono::steady_clock::now() >= deadline) {
+      return response;
+    }
+    // Leases also end without any message, so the wait is bounded.
+    m_ledger.changed.wait_for(lock, kInForceCheck);
+  }
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/forwarder.cc
@@ -0,0 +1,214 @@
+#include "rosemarywinch/programs/forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "rosemarywinch/decisions/consensus/replica.h"
+#include "rosemarywinch/decisions/traffic/headers.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr size_t kAttemptBytes = 8;
+constexpr Duration kQuestionTimeout{500};
+// An answer must be this late before the other node is asked whether it knows
+// of the attempt at all.
+constexpr Duration kSilenceLimit{1500};
+constexpr const char* kYes = "yes";
+constexpr const char* kNo = "no";
+
+bool IsTransient(ErrorId id) {
+  switch (id) {
+    case ErrorId::kOverloaded:
+    case ErrorId::kDraining:
+    case ErrorId::kNoBackend:
+    case ErrorId::kUnreachable:
+      return true;
+    default:
+      return false;
+  }
+}
+
+// Retries that are not lent with a call, so that one is left when its answer,
+// and with it the unspent rest, is lost. Only the first hop holds one back;
+// further down, retries belong as near to the failure as possible.
+uint32_t HeldBack(const HopEnvelope& envelope, uint32_t retries) {
+  const bool first_hop = envelope.depth == 0 && !envelope.at_most_once;
+  return first_hop && retries > 0 ? 1 : 0;
+}
+
+CallResult ResultOf(const CallOutcome& outcome) {
+  return std::visit(
+      Overloaded{[](const Ran&) { return CallResult::kAnswered; },
+                 [](const NotRun& refused) {
+                   return refused.error.id == ErrorId::kUnreachable
+                              ? CallResult::kFailed
+                              : CallResult::kRefused;
+                 },
+                 [](const UnknownOutcome&) { return CallResult::kFailed; }},
+      outcome);
+}
+
+}  // namespace
+
+Forwarder::Forwarder(std::string node,
+                     NodeState& state,
+                     BackendGate& gate,
+                     Clock& clock,
+                     Random& random,
+                     HttpChannel& channel)
+    : m_node(std::move(node)),
+      m_state(state),
+      m_gate(gate),
+      m_clock(clock),
+      m_random(random),
+      m_channel(channel) {}
+
+CallReport Forwarder::Forward(HopEnvelope envelope,
+                              const HttpRequest& request,
+                              const std::optional<std::string>& bound) {
+  const TimePoint deadline = m_clock.Now() + envelope.timeout;
+  {
+    std::scoped_lock lock(m_budget_mutex);
+    m_budget.OnCall();
+  }
+  std::set<std::string> tried;
+  CallReport report;
+  report.retries_left = envelope.retries;
+  report.outcome = NotRun{{ErrorId::kNoBackend, envelope.service}, {}};
+  while (true) {
+    const std::optional<Member> member =
+        bound ? m_state.ChooseBound(envelope.service, *bound)
+              : m_state.Choose(envelope.service, tried);
+    if (!member) {
+      return report;
+    }
+    const uint32_t held = HeldBack(envelope, report.retries_left);
+    envelope.timeout = deadline - m_clock.Now();
+    envelope.retries = report.retries_left - held;
+    report = Attempt(envelope, request, *member);
+    report.retries_left += held;
+    tried.insert(member->node);
+    const bool again = !bound && report.retries_left > 0 &&
+                       MayRetry(envelope, report.outcome) &&
+                       m_clock.Now() < deadline && TakeRetry();
+    if (!again) {
+      return report;
+    }
+    --report.retries_left;
+  }
+}
+
+Result<std::string> Forwarder::OfferId(const std::string& service,
+                                       const std::string& account) {
+  std::set<std::string> tried;
+  while (const auto member = m_state.Choose(service, tried)) {
+    tried.insert(member->node);
+    std::optional<std::string> id;
+    if (member->node == m_node) {
+      id = m_gate.IssueId(service, account);
+    } else {
+      id = Ask(*member, kOfferPath, service + "~" + account);
+    }
+    m_state.FinishCall(service, member->node,
+                       id ? CallResult::kAnswered : CallResult::kFailed, {});
+    if (id && !id->empty()) {
+      return *id;
+    }
+  }
+  return Fail(ErrorId::kNoBackend, service);
+}
+
+CallReport Forwarder::Attempt(const HopEnvelope& envelope,
+                              const HttpRequest& request,
+                              const Member& member) {
+  HopEnvelope hop = envelope;
+  hop.protocol_version = consensus::kProtocolVersion;
+  hop.attempt = m_random.Hex(kAttemptBytes);
+  const TimePoint start = m_clock.Now();
+  CallReport report = member.node == m_node ? m_gate.Run(hop, request)
+                                            : SendHop(hop, request, member);
+  m_state.FinishCall(envelope.service, member.node, ResultOf(report.outcome),
+                     m_clock.Now() - start);
+  return report;
+}
+
+CallReport Forwarder::SendHop(const HopEnvelope& envelope,
+                              const HttpRequest& request,
+                              const Member& member) {
+  const TimePoint start = m_clock.Now();
+  HttpSendOptions options;
+  options.timeout = std::max(envelope.timeout, Duration{1});
+  options.keep_waiting = [&] {
+    if (m_clock.Now() < start + kSilenceLimit) {
+      return true;
+    }
+    // A slow node knows of the attempt; one that does not know of it, or
+    // cannot be reached on a new connection, will never answer this one.
+    return Ask(member, kAttemptPath, envelope.attempt) == kYes;
+  };
+  HttpResult result =
+      m_channel.Send(member.address, EncodeHop(envelope, request), options);
+  if (auto* response = std::get_if<HttpResponse>(&result)) {
+    return DecodeReport(std::move(*response));
+  }
+  if (auto* unsent = std::get_if<NotSent>(&result)) {
+    CallReport report;
+    report.outcome = NotRun{std::move(unsent->error), {}};
+    report.retries_left = envelope.retries;
+    return report;
+  }
+  return SettleLost(envelope, member, std::get<AnswerLost>(result).error);
+}
+
+CallReport Forwarder::SettleLost(const HopEnvelope& envelope,
+                                 const Member& member,
+                                 Error error) {
+  CallReport report;
+  // What was lent with the call may have been spent; only that keeps the bound.
+  report.retries_left = 0;
+  report.outcome = UnknownOutcome{{ErrorId::kOutcomeUnknown, error.detail}};
+  if (!envelope.at_most_once) {
+    return report;
+  }
+  if (Ask(member, kFencePath, envelope.request_id) == kYes) {
+    report.outcome =
+        NotRun{{ErrorId::kUnreachable, "the request did not arrive"}, {}};
+  }
+  return report;
+}
+
+bool Forwarder::MayRetry(const HopEnvelope& envelope,
+                         const CallOutcome& outcome) const {
+  return std::visit(
+      Overloaded{
+          [](const Ran&) { return false; },
+          [](const NotRun& refused) { return IsTransient(refused.error.id); },
+          [&](const UnknownOutcome&) { return !envelope.at_most_once; }},
+      outcome);
+}
+
+bool Forwarder::TakeRetry() {
+  std::scoped_lock lock(m_budget_mutex);
+  return m_budget.TryRetry();
+}
+
+std::optional<std::string> Forwarder::Ask(const Member& member,
+                                          const std::string& path,
+                                          const std::string& argument) {
+  HttpRequest question;
+  question.path = path;
+  question.query = argument;
+  HttpSendOptions options;
+  options.timeout = kQuestionTimeout;
+  options.fresh_connection = true;
+  const HttpResult result = m_channel.Send(member.address, question, options);
+  const auto* response = std::get_if<HttpResponse>(&result);
+  if (response == nullptr || response->body == kNo) {
+    return std::nullopt;
+  }
+  return response->body;
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/main.cc
@@ -0,0 +1,201 @@
+#include <CLI/CLI.hpp>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/adapters/curl_channel.h"
+#include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/programs/operator_commands.h"
+#include "rosemarywinch/programs/servers.h"
+#include "rosemarywinch/programs/settings_reader.h"
+
+namespace rosemarywinch {
+namespace {
+
+constexpr const char* kVersionText = "rosemarywinch 0.1.0";
+
+// A subcommand, the reader of its settings and what it does once they are
+// read.
+struct Program {
+  CLI::App* app = nullptr;
+  std::unique_ptr<SettingsReader> reader;
+  std::function<Result<ExitCode>()> run;
+};
+
+class CommandLine {
+ public:
+  CommandLine() : m_app("Overload control for service call graphs") {
+    m_app.set_version_flag("--version", kVersionText);
+    m_app.require_subcommand(1);
+    AddServers();
+    AddTree();
+    AddKey();
+    AddStatus();
+    AddCheck();
+  }
+
+  int Run(int argc, char** argv) {
+    try {
+      m_app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+      const int code = m_app.exit(error);
+      return code == 0 ? 0 : static_cast<int>(ExitCode::kUsage);
+    }
+    for (Program& program : m_programs) {
+      if (program.app->parsed()) {
+        return RunProgram(program);
+      }
+    }
+    return static_cast<int>(ExitCode::kUsage);
+  }
+
+ private:
+  static int RunProgram(Program& program) {
+    const std::vector<Error> errors = program.reader->Apply(ReadEnvironment());
+    for (const Error& error : errors) {
+      std::cerr << error.Message() << "\n";
+    }
+    if (!errors.empty()) {
+      return static_cast<int>(ExitCode::kUsage);
+    }
+    const Outcome<ExitCode> outcome = Capture(program.run);
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      std::cerr << error->Message() << "\n";
+      return static_cast<int>(ExitCode::kCannotStart);
+    }
+    return static_cast<int>(std::get<ExitCode>(outcome));
+  }
+
+  Program& AddProgram(CLI::App* app) {
+    Program& program = m_programs.emplace_back();
+    program.app = app;
+    program.reader = std::make_unique<SettingsReader>(*app);
+    program.reader->Register(m_common);
+    return program;
+  }
+
+  void AddServers() {
+    Program& control =
+        AddProgram(m_app.add_subcommand("control", "run a control replica"));
+    control.reader->Register(m_control);
+    control.reader->Require("replica_id");
+    control.reader->Require("data_folder");
+    control.run = [this] {
+      StopSignal stop;
+      return RunControl(m_common, m_control, stop);
+    };
+    Program& node = AddProgram(
+        m_app.add_subcommand("node", "run a node beside a backend server"));
+    node.reader->Register(m_node);
+    node.reader->Require("control");
+    node.run = [this] {
+      StopSignal stop;
+      return RunNode(m_common, m_node, stop);
+    };
+  }
+
+  template <typename Command>
+  CLI::App* AddOperator(CLI::App* parent,
+                        const std::string& name,
+                        const std::string& help,
+                        std::shared_ptr<Command> command) {
+    Program& program = AddProgram(parent->add_subcommand(name, help));
+    program.reader->Register(m_operator);
+    program.reader->Require("control");
+    program.run = [this, command] { return RunOperator(*command); };
+    return program.app;
+  }
+
+  Result<ExitCode> RunOperator(const OperatorCommand& command) {
+    BOOST_LEAF_AUTO(replicas, ParseReplicas(m_common.control));
+    CurlChannel channel;
+    SystemRandom random;
+    SystemClock clock;
+    SodiumHasher hasher;
+    ControlClient control(std::move(replicas), channel);
+    OperatorCommands commands(m_operator,
+                              {control, channel, hasher, random, clock});
+    return commands.Run(command);
+  }
+
+  void AddTree() {
+    CLI::App* tree = m_app.add_subcommand("tree", "read and change settings");
+    tree->require_subcommand(1);
+    auto get = std::make_shared<TreeGet>();
+    CLI::App* app = AddOperator(tree, "get", "show settings", get);
+    app->add_option("path", get->path, "/, /service, /service/route, .../@id");
+    app->add_flag("--effective", get->effective,
+                  "show inherited values and where they come from");
+    auto set = std::make_shared<TreeSet>();
+    app = AddOperator(tree, "set", "set fields, all or none", set);
+    app->add_option("words", set->words, "PATH FIELD VALUE ...")->required();
+    auto clear = std::make_shared<TreeClear>();
+    app = AddOperator(tree, "clear", "inherit a field again", clear);
+    app->add_option("path", clear->path)->required();
+    app->add_option("field", clear->field)->required();
+    auto apply = std::make_shared<TreeApply>();
+    app = AddOperator(tree, "apply", "set the fields of a file", apply);
+    app->add_option("file", apply->file, "lines PATH FIELD VALUE")->required();
+    AddOperator(tree, "history", "show changes",
+                std::make_shared<TreeHistory>());
+    auto diff = std::make_shared<TreeDiff>();
+    app = AddOperator(tree, "diff", "show changes after a version", diff);
+    app->add_option("version", diff->since)->required();
+  }
+
+  void AddKey() {
+    CLI::App* key = m_app.add_subcommand("key", "give and withdraw keys");
+    key->require_subcommand(1);
+    auto give = std::make_shared<KeyGive>();
+    CLI::App* app = AddOperator(key, "give", "make a key", give);
+    app->add_option("account", give->account, "client account")->required();
+    auto withdraw = std::make_shared<KeyWithdraw>();
+    app = AddOperator(key, "withdraw", "end a key", withdraw);
+    app->add_option("key_id", withdraw->key_id)->required();
+    AddOperator(key, "list", "list live keys", std::make_shared<KeyList>());
+  }
+
+  void AddStatus() {
+    CLI::App* app = AddProgram(m_app.add_subcommand(
+                                   "status", "show the fleet, or one request"))
+                        .app;
+    Program& program = m_programs.back();
+    program.reader->Register(m_operator);
+    app->add_option("--why", m_why.request_id, "id of a request");
+    app->add_option("--node", m_why.nodes, "local port of a node, HOST:PORT");
+    program.run = [this] {
+      return m_why.request_id.empty() ? RunOperator(FleetStatus{})
+                                      : RunOperator(m_why);
+    };
+  }
+
+  void AddCheck() {
+    Program& program = AddProgram(m_app.add_subcommand(
+        "check", "read settings like a node or replica, and stop"));
+    program.reader->Register(m_control);
+    m_programs.back().run = [this]() -> Result<ExitCode> {
+      BOOST_LEAF_CHECK(ParseReplicas(m_common.control));
+      std::cout << "settings are valid\n";
+      return ExitCode::kSuccess;
+    };
+  }
+
+  CLI::App m_app;
+  std::deque<Program> m_programs;
+  CommonSettings m_common;
+  ControlSettings m_control;
+  NodeSettings m_node;
+  OperatorSettings m_operator;
+  RequestWhy m_why;
+};
+
+}  // namespace
+}  // namespace rosemarywinch
+
+int main(int argc, char** argv) {
+  rosemarywinch::CommandLine command_line;
+  return command_line.Run(argc, argv);
+}
--- /dev/null
+++ b/src/programs/node_state.cc
@@ -0,0 +1,185 @@
+#include "rosemarywinch/programs/node_state.h"
+
+#include <chrono>
+#include <utility>
+
+#include "rosemarywinch/decisions/consensus/replica.h"
+#include "rosemarywinch/decisions/fleet/fleet_store.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+// Longest wait of a request for an account's first share or a service's first
+// members; about two urgent polls.
+constexpr Duration kFirstContactWait{400};
+
+}  // namespace
+
+std::shared_ptr<const NodeConfig> NodeState::Config() {
+  std::scoped_lock lock(m_config_mutex);
+  return m_config;
+}
+
+bool NodeState::LeaseLives() {
+  std::scoped_lock lock(m_config_mutex);
+  return m_config != nullptr && m_clock.Now() < m_lease_end;
+}
+
+void NodeState::FillPoll(PollRequest& request) {
+  {
+    std::scoped_lock lock(m_config_mutex);
+    request.protocol_version = consensus::kProtocolVersion;
+    request.cluster = m_cluster;
+    request.term = m_term;
+    request.config_version = m_config == nullptr ? 0 : m_config->state.version;
+  }
+  m_routers.ForEach([&](const Routers& routers) {
+    for (const auto& [service, router] : routers) {
+      request.services.push_back({service, router.revision()});
+    }
+  });
+  const TimePoint now = m_clock.Now();
+  m_buckets.ForEach([&](Buckets& buckets) {
+    std::erase_if(buckets,
+                  [&](const auto& entry) { return entry.second.IsIdle(now); });
+    for (auto& [account, bucket] : buckets) {
+      request.allowances.push_back(bucket.Report(now, account));
+    }
+  });
+}
+
+bool NodeState::ApplyPoll(TimePoint sent, const PollResponse& response) {
+  const TimePoint lease_end = sent + response.lease;
+  {
+    std::scoped_lock lock(m_config_mutex);
+    const bool foreign = !m_cluster.empty() && response.cluster != m_cluster;
+    if (foreign || response.term < m_term) {
+      return false;
+    }
+    m_cluster = response.cluster;
+    m_term = response.term;
+    ApplyConfig(response);
+    if (m_config == nullptr ||
+        m_config->state.version < response.config_version) {
+      return false;
+    }
+    m_lease_end = std::max(m_lease_end, lease_end);
+  }
+  const TimePoint now = m_clock.Now();
+  for (const ServiceUpdate& update : response.services) {
+    m_routers.With(update.service, [&](Routers& routers) {
+      RouterOf(routers, update.service).Apply(now, update);
+    });
+  }
+  for (const AllowanceGrant& grant : response.allowances) {
+    m_buckets.With(grant.account, [&](Buckets& buckets) {
+      buckets[grant.account].Apply(now, grant, lease_end);
+    });
+  }
+  std::scoped_lock lock(m_config_mutex);
+  ++m_news_count;
+  m_news.notify_all();
+  return true;
+}
+
+void NodeState::ApplyConfig(const PollResponse& response) {
+  const uint64_t version = m_config == nullptr ? 0 : m_config->state.version;
+  if (response.state &&
+      (m_config == nullptr || response.state->version > version)) {
+    m_config = std::make_shared<const NodeConfig>(*response.state);
+    return;
+  }
+  if (m_config == nullptr || response.commands.empty()) {
+    return;
+  }
+  FleetState next = m_config->state;
+  for (const HistoryRecord& record : response.commands) {
+    if (record.version == next.version + 1) {
+      ApplyAccepted(next, record);
+    }
+  }
+  if (next.version > version) {
+    m_config = std::make_shared<const NodeConfig>(std::move(next));
+  }
+}
+
+std::optional<Duration> NodeState::TakeAllowance(const std::string& account) {
+  m_buckets.With(account,
+                 [&](Buckets& buckets) { buckets[account].CountOffer(); });
+  std::optional<Duration> wait;
+  RetryOnNews([&] {
+    return m_buckets.With(account, [&](Buckets& buckets) {
+      AllowanceBucket& bucket = buckets[account];
+      const TimePoint now = m_clock.Now();
+      const bool taken = bucket.TryTake(now);
+      wait = taken ? std::nullopt : std::optional(bucket.RetryAfter(now));
+      return taken || bucket.HasShare(now);
+    });
+  });
+  return wait;
+}
+
+std::optional<Member> NodeState::Choose(const std::string& service,
+                                        const std::set<std::string>& excluded) {
+  std::optional<Member> member;
+  RetryOnNews([&] {
+    return m_routers.With(service, [&](Routers& routers) {
+      Router& router = RouterOf(routers, service);
+      member = router.Choose(m_clock.Now(), excluded, m_random);
+      return member.has_value() || router.revision() != 0;
+    });
+  });
+  return member;
+}
+
+std::optional<Member> NodeState::ChooseBound(const std::string& service,
+                                             const std::string& node) {
+  std::optional<Member> member;
+  RetryOnNews([&] {
+    return m_routers.With(service, [&](Routers& routers) {
+      Router& router = RouterOf(routers, service);
+      member = router.ChooseBound(node);
+      return member.has_value() || router.revision() != 0;
+    });
+  });
+  return member;
+}
+
+void NodeState::FinishCall(const std::string& service,
+                           const std::string& node,
+                           CallResult result,
+                           Duration took) {
+  m_routers.With(service, [&](Routers& routers) {
+    RouterOf(routers, service).Finish(m_clock.Now(), node, result, took);
+  });
+}
+
+void NodeState::RetryOnNews(const std::function<bool()>& settled) {
+  const auto deadline = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(kFirstContactWait.ms);
+  uint64_t seen = NewsCount();
+  while (!settled()) {
+    if (m_poke) {
+      m_poke();
+    }
+    std::unique_lock lock(m_config_mutex);
+    const bool news =
+        m_news.wait_until(lock, deadline, [&] { return m_news_count > seen; });
+    if (!news) {
+      return;
+    }
+    seen = m_news_count;
+  }
+}
+
+uint64_t NodeState::NewsCount() {
+  std::scoped_lock lock(m_config_mutex);
+  return m_news_count;
+}
+
+Router& NodeState::RouterOf(Routers& routers, const std::string& service) {
+  return routers.try_emplace(service, m_data_centre).first->second;
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/operator_commands.cc
@@ -0,0 +1,276 @@
+#include "rosemarywinch/programs/operator_commands.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <utility>
+
+#include "rosemarywinch/core/text_value.h"
+#include "rosemarywinch/decisions/consensus/replica.h"
+#include "rosemarywinch/decisions/fleet/fleet_store.h"
+#include "rosemarywinch/decisions/fleet/policy.h"
+#include "rosemarywinch/decisions/traffic/client_key.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr size_t kOperationIdBytes = 12;
+constexpr size_t kKeyIdBytes = 8;
+constexpr size_t kKeySecretBytes = 32;
+constexpr Duration kCallTimeout{3000};
+// Time for which a change is sent again while its answer stays out.
+constexpr Duration kSubmitLimit{15'000};
+constexpr std::chrono::milliseconds kSubmitPause{200};
+
+// Errors after which a change may or may not be accepted, so that it is sent
+// again under the same operation id.
+bool AnswerIsOpen(const Error& error) {
+  return error.id == ErrorId::kNotLeader || error.id == ErrorId::kUnreachable ||
+         error.id == ErrorId::kNotAccepted;
+}
+
+void Pause(std::chrono::milliseconds length) {
+  std::mutex mutex;
+  std::condition_variable never;
+  std::unique_lock lock(mutex);
+  never.wait_for(lock, length, [] { return false; });
+}
+
+void PrintSettings(const PolicySettings& settings) {
+  VisitFields(settings, [](const FieldInfo& field, const auto& value) {
+    if (value) {
+      std::cout << "  " << field.name << " = " << ToText(*value) << "\n";
+    }
+  });
+}
+
+void PrintHistory(const FleetState& state, uint64_t since) {
+  for (const HistoryRecord& record : state.history) {
+    if (record.version > since) {
+      std::cout << record.version << "  " << record.command.author << "  "
+                << Describe(record.command) << "\n";
+    }
+  }
+}
+
+Result<std::vector<Edit>> EditsOf(const std::vector<std::string>& words) {
+  constexpr size_t kWordsPerEdit = 3;
+  if (words.empty() || words.size() % kWordsPerEdit != 0) {
+    return Fail(ErrorId::kBadValue, "want PATH FIELD VALUE, again and again");
+  }
+  std::vector<Edit> edits;
+  for (size_t i = 0; i < words.size(); i += kWordsPerEdit) {
+    edits.push_back({words[i], words[i + 1], words[i + 2], false});
+  }
+  return edits;
+}
+
+Result<std::vector<Edit>> ReadEdits(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return Fail(ErrorId::kSettingsFile, path);
+  }
+  std::vector<Edit> edits;
+  std::string line;
+  for (int number = 1; std::getline(file, line); ++number) {
+    std::istringstream words(line);
+    Edit edit;
+    words >> edit.path;
+    if (edit.path.empty() || edit.path.starts_with('#')) {
+      continue;
+    }
+    if (!(words >> edit.field >> edit.value)) {
+      return Fail(ErrorId::kSettingsFile, path + ":" + std::to_string(number) +
+                                              " is not PATH FIELD VALUE");
+    }
+    edits.push_back(std::move(edit));
+  }
+  return edits;
+}
+
+}  // namespace
+
+Result<ExitCode> OperatorCommands::Run(const OperatorCommand& command) {
+  return std::visit([this](const auto& kind) { return Do(kind); }, command);
+}
+
+Result<ExitCode> OperatorCommands::Do(const TreeGet& command) {
+  BOOST_LEAF_AUTO(path, TreePath::Parse(command.path));
+  BOOST_LEAF_AUTO(state, ReadState());
+  std::cout << "version " << state.version << "\n";
+  if (command.effective) {
+    const EffectivePolicy policy = EffectiveAt(state, path);
+    std::cout << path.Text() << "\n";
+    VisitFields(policy.settings, [&](const FieldInfo& field, const auto& v) {
+      std::cout << "  " << field.name << " = " << ToText(*v) << "  from "
+                << policy.origins.at(std::string(field.name)) << "\n";
+    });
+    return ExitCode::kSuccess;
+  }
+  const std::string prefix = path.Text();
+  for (const auto& [node, settings] : state.tree) {
+    if (prefix == "/" || node == prefix || node.starts_with(prefix + "/")) {
+      std::cout << node << "\n";
+      PrintSettings(settings);
+    }
+  }
+  return ExitCode::kSuccess;
+}
+
+Result<ExitCode> OperatorCommands::Do(const TreeSet& command) {
+  BOOST_LEAF_AUTO(edits, EditsOf(command.words));
+  return ChangeTreeBy(std::move(edits));
+}
+
+Result<ExitCode> OperatorCommands::Do(const TreeClear& command) {
+  return ChangeTreeBy({{command.path, command.field, "", true}});
+}
+
+Result<ExitCode> OperatorCommands::Do(const TreeApply& command) {
+  BOOST_LEAF_AUTO(edits, ReadEdits(command.file));
+  return ChangeTreeBy(std::move(edits));
+}
+
+Result<ExitCode> OperatorCommands::Do(const TreeHistory&) {
+  BOOST_LEAF_AUTO(state, ReadState());
+  PrintHistory(state, 0);
+  return ExitCode::kSuccess;
+}
+
+Result<ExitCode> OperatorCommands::Do(const TreeDiff& command) {
+  BOOST_LEAF_AUTO(state, ReadState());
+  PrintHistory(state, command.since);
+  return ExitCode::kSuccess;
+}
+
+Result<ExitCode> OperatorCommands::Do(const KeyGive& command) {
+  const ClientKey key{m_parts.random.Hex(kKeyIdBytes),
+                      m_parts.random.Hex(kKeySecretBytes)};
+  BOOST_LEAF_AUTO(code, Submit(GiveKey{command.account, key.id,
+                                       m_parts.hasher.Hash(key.secret)}));
+  if (code != ExitCode::kRefused) {
+    std::cout << "key " << key.Text() << "\n"
+              << "It is shown only now; control keeps its hash.\n";
+  }
+  return code;
+}
+
+Result<ExitCode> OperatorCommands::Do(const KeyWithdraw& command) {
+  return Submit(WithdrawKey{command.key_id});
+}
+
+Result<ExitCode> OperatorCommands::Do(const KeyList&) {
+  BOOST_LEAF_AUTO(state, ReadState());
+  for (const auto& [id, key] : state.keys) {
+    std::cout << id << "  " << key.account << "\n";
+  }
+  return ExitCode::kSuccess;
+}
+
+Result<ExitCode> OperatorCommands::Do(const FleetStatus&) {
+  // Members and the version in force are known to the leader alone.
+  BOOST_LEAF_CHECK(ReadState());
+  BOOST_LEAF_AUTO(status,
+                  m_parts.control.Call<ControlStatus>(
+                      "operator.status", ControlStatusRequest{}, kCallTimeout));
+  std::cout << "leader " << status.leader_id << ", term " << status.term << ", "
+            << status.voters << " voting replicas\n"
+            << "version " << status.version
+            << ", in force everywhere: " << status.in_force_version << "\n";
+  for (const Member& member : status.members) {
+    std::cout << "  " << member.service << "  " << member.address << "  "
+              << member.data_centre << "  " << NameOf(member.state) << "\n";
+  }
+  return ExitCode::kSuccess;
+}
+
+Result<ExitCode> OperatorCommands::Do(const RequestWhy& command) {
+  bool found = false;
+  for (const std::string& node : command.nodes) {
+    HttpRequest request;
+    request.path = "/rosemarywinch/why";
+    request.query = command.request_id;
+    HttpSendOptions options;
+    options.timeout = kCallTimeout;
+    const HttpResult result = m_parts.channel.Send(node, request, options);
+    const auto* response = std::get_if<HttpResponse>(&result);
+    if (response != nullptr && response->status == 200) {
+      std::cout << node << " " << response->body;
+      found = true;
+    }
+  }
+  if (!found) {
+    std::cout << "no node that was asked knows of the request\n";
+  }
+  return found ? ExitCode::kSuccess : ExitCode::kRefused;
+}
+
+Result<FleetState> OperatorCommands::ReadState() {
+  BOOST_LEAF_AUTO(
+      response, m_parts.control.Call<StateResponse>(
+                    "operator.state", StateRequest{consensus::kProtocolVersion},
+                    kCallTimeout));
+  return std::move(response.state);
+}
+
+Result<ExitCode> OperatorCommands::ChangeTreeBy(std::vector<Edit> edits) {
+  ChangeTree change{m_settings.expected_version, std::move(edits)};
+  if (change.expected_version == 0) {
+    BOOST_LEAF_AUTO(state, ReadState());
+    change.expected_version = state.version;
+  }
+  return Submit(std::move(change));
+}
+
+Result<ExitCode> OperatorCommands::Submit(
+    decltype(FleetCommand::change) change) {
+  FleetCommand command;
+  command.operation_id = m_settings.operation_id.empty()
+                             ? m_parts.random.Hex(kOperationIdBytes)
+                             : m_settings.operation_id;
+  command.author = m_settings.author;
+  command.unix_time = m_parts.clock.UnixTime();
+  command.change = std::move(change);
+  BOOST_LEAF_AUTO(response, SubmitUntilAnswered(command));
+  const CommandResult& result = response.result;
+  if (result.error != ErrorId::kNone) {
+    std::cout << "not accepted: "
+              << Error{result.error, result.detail}.Message() << "\n";
+    return ExitCode::kRefused;
+  }
+  if (response.in_force) {
+    std::cout << "in force everywhere at version " << result.version << "\n";
+    return ExitCode::kSuccess;
+  }
+  std::cout << "accepted at version " << result.version << "; "
+            << response.pending_nodes
+            << " nodes may not act on it yet; it will not be lost\n";
+  return ExitCode::kNotYetInForce;
+}
+
+Result<CommandResponse> OperatorCommands::SubmitUntilAnswered(
+    const FleetCommand& command) {
+  const TimePoint deadline = m_parts.clock.Now() + kSubmitLimit;
+  const CommandRequest request{consensus::kProtocolVersion, command,
+                               m_settings.wait};
+  while (true) {
+    const Outcome<CommandResponse> outcome = Capture([&] {
+      return m_parts.control.Call<CommandResponse>(
+          "operator.command", request, m_settings.wait + kSubmitLimit);
+    });
+    const auto* error = std::get_if<Error>(&outcome);
+    const bool settled = error == nullptr || !AnswerIsOpen(*error) ||
+                         m_parts.clock.Now() >= deadline;
+    if (settled) {
+      return Release(outcome);
+    }
+    Pause(kSubmitPause);
+  }
+}
+
+}  // namespace rosemarywinch
