--- /dev/null
+++ b/tests/unit-allowance.cpp
@@ -0,0 +1,228 @@
+#define BOOST_TEST_MODULE allowance
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/decisions/control/allowance_bucket.h"
+#include "rosemarywinch/decisions/control/allowance_lender.h"
+#include "rosemarywinch/decisions/control/lease.h"
+#include "support/fakes.h"
+
+namespace rosemarywinch {
+namespace {
+
+constexpr Duration kLease{3000};
+constexpr Duration kPoll{1000};
+constexpr Duration kStep{10};
+
+// One bucket with the whole limit: what no pattern of use may pass.
+class ReferenceBucket {
+ public:
+  ReferenceBucket(const AllowanceLimit& limit, TimePoint now)
+      : m_limit(limit), m_tokens(limit.burst), m_refilled(now) {}
+
+  // Returns the tokens left after one more request.
+  double Take(TimePoint now) {
+    m_tokens = std::min(m_limit.burst,
+                        m_tokens + m_limit.rate * (now - m_refilled).Seconds());
+    m_refilled = now;
+    m_tokens -= 1;
+    return m_tokens;
+  }
+
+ private:
+  const AllowanceLimit m_limit;
+  double m_tokens;
+  TimePoint m_refilled;
+};
+
+// Nodes that share one account through a lender.
+class Fleet {
+ public:
+  Fleet(size_t nodes, AllowanceLimit limit, uint64_t seed)
+      : m_random(seed), m_limit(limit), m_nodes(nodes) {
+    for (size_t i = 0; i < nodes; ++i) {
+      m_nodes[i].next_poll = now + Duration{static_cast<int64_t>(
+                                       m_random.Below(kPoll.ms))};
+    }
+    m_lender.emplace(now - LessorWait(kLease), kLease);
+    m_reference.emplace(limit, now);
+  }
+
+  // Sends requests at `rates[i]` a second to node i for `length`.
+  void Run(Duration length, const std::vector<double>& rates) {
+    const TimePoint end = now + length;
+    while (now < end) {
+      now = now + kStep;
+      for (size_t i = 0; i < m_nodes.size(); ++i) {
+        Node& node = m_nodes[i];
+        node.owed += rates[i] * kStep.Seconds();
+        while (node.owed >= 1) {
+          node.owed -= 1;
+          Request(node);
+        }
+        if (now >= node.next_poll) {
+          Poll(node, i);
+        }
+      }
+    }
+  }
+
+  // A new leader takes over; what was lent is unknown to it.
+  void FailOver() { m_lender.emplace(now, kLease); }
+
+  // Node `i` hears nothing from control.
+  void Cut(size_t i, bool cut) { m_nodes[i].cut = cut; }
+
+  uint64_t offered = 0;
+  uint64_t taken = 0;
+  double least_tokens = 1e9;
+  uint32_t loss_percent = 0;
+  TimePoint now{1'000'000};
+
+ private:
+  struct Node {
+    AllowanceBucket bucket;
+    TimePoint next_poll;
+    double owed = 0;
+    bool cut = false;
+    bool knows_account = false;
+  };
+
+  void Request(Node& node) {
+    ++offered;
+    node.bucket.CountOffer();
+    if (!node.knows_account) {
+      // The first request makes the node poll at once and waits for it.
+      node.knows_account = true;
+      Poll(node, static_cast<size_t>(&node - m_nodes.data()));
+    }
+    if (node.bucket.TryTake(now)) {
+      ++taken;
+      least_tokens = std::min(least_tokens, m_reference->Take(now));
+    }
+  }
+
+  void Poll(Node& node, size_t index) {
+    node.next_poll = now + kPoll;
+    const AllowanceReport report = node.bucket.Report(now, "acme");
+    if (node.cut || m_random.Below(100) < loss_percent ||
+        !node.knows_account) {
+      return;
+    }
+    const AllowanceGrant grant =
+        m_lender->OnReport(now, m_limit, std::to_string(index), report);
+    const AllowanceLimit lent = m_lender->Lent();
+    BOOST_REQUIRE_LE(lent.rate, m_limit.rate * 1.000001);
+    BOOST_REQUIRE_LE(lent.burst, m_limit.burst * 1.000001);
+    if (m_random.Below(100) >= loss_percent) {
+      node.bucket.Apply(now, grant, now + kLease);
+    }
+  }
+
+  test::SeededRandom m_random;
+  const AllowanceLimit m_limit;
+  std::vector<Node> m_nodes;
+  std::optional<AllowanceLender> m_lender;
+  std::optional<ReferenceBucket> m_reference;
+};
+
+std::vector<double> RatesAt(size_t nodes, size_t at, double rate) {
+  std::vector<double> rates(nodes, 0);
+  rates[at] = rate;
+  return rates;
+}
+
+BOOST_AUTO_TEST_CASE(rate_and_burst_hold_over_all_nodes_under_faults) {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      test::SeededRandom dice(seed);
+      const size_t nodes = 2 + dice.Below(9);
+      const AllowanceLimit limit{1.0 + static_cast<double>(dice.Below(200)),
+                                 1.0 + static_cast<double>(dice.Below(300))};
+      Fleet fleet(nodes, limit, seed);
+      fleet.loss_percent = static_cast<uint32_t>(dice.Below(40));
+      for (int round = 0; round < 20; ++round) {
+        std::vector<double> rates(nodes);
+        for (double& rate : rates) {
+          rate = static_cast<double>(dice.Below(3)) * limit.rate;
+        }
+        const size_t victim = dice.Below(nodes);
+        fleet.Cut(victim, dice.Below(3) == 0);
+        if (dice.Below(5) == 0) {
+          fleet.FailOver();
+        }
+        fleet.Run({static_cast<int64_t>(dice.Below(4000))}, rates);
+        fleet.Cut(victim, false);
+      }
+      BOOST_TEST(fleet.least_tokens >= -0.001);
+      BOOST_TEST(fleet.taken > 0u);
+    }
+  }
+}
+
+// Wrongful refusals: the account stays within its rate, yet is refused.
+double WrongfulPart(Fleet& fleet) {
+  return 1.0 - static_cast<double>(fleet.taken) /
+                   static_cast<double>(std::max<uint64_t>(1, fleet.offered));
+}
+
+BOOST_AUTO_TEST_CASE(steady_demand_within_the_rate_is_hardly_refused) {
+  for (size_t nodes : {2u, 40u}) {
+    Fleet fleet(nodes, {100, 100}, 7);
+    fleet.Run({60'000},
+              std::vector<double>(nodes, 90.0 / static_cast<double>(nodes)));
+    BOOST_TEST_MESSAGE(nodes << " nodes, even: " << WrongfulPart(fleet));
+    BOOST_TEST(WrongfulPart(fleet) < 0.01);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(skewed_demand_within_the_rate_is_hardly_refused) {
+  for (size_t nodes : {2u, 40u}) {
+    Fleet fleet(nodes, {100, 100}, 8);
+    fleet.Run({60'000}, RatesAt(nodes, 0, 90));
+    BOOST_TEST_MESSAGE(nodes << " nodes, skewed: " << WrongfulPart(fleet));
+    BOOST_TEST(WrongfulPart(fleet) < 0.01);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(demand_that_moves_is_followed) {
+  for (size_t nodes : {2u, 40u}) {
+    Fleet fleet(nodes, {100, 100}, 9);
+    for (size_t round = 0; round < 20; ++round) {
+      fleet.Run({5000}, RatesAt(nodes, round % nodes, 90));
+    }
+    BOOST_TEST_MESSAGE(nodes << " nodes, moving: " << WrongfulPart(fleet));
+    BOOST_TEST(WrongfulPart(fleet) < 0.10);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(most_of_the_rate_is_usable_under_overload) {
+  for (size_t nodes : {2u, 40u}) {
+    Fleet fleet(nodes, {100, 100}, 10);
+    fleet.Run({60'000}, std::vector<double>(nodes, 500.0 / nodes));
+    const double used = static_cast<double>(fleet.taken) / 60.0 / 100.0;
+    BOOST_TEST_MESSAGE(nodes << " nodes, overload: " << used);
+    BOOST_TEST(used > 0.95);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_fail_over_goes_on_with_the_shares_that_are_out) {
+  Fleet fleet(4, {100, 100}, 11);
+  const std::vector<double> rates(4, 20);
+  fleet.Run({20'000}, rates);
+  fleet.offered = 0;
+  fleet.taken = 0;
+  fleet.FailOver();
+  fleet.Run({3000}, rates);
+  BOOST_TEST_MESSAGE("fail-over: " << WrongfulPart(fleet));
+  BOOST_TEST(WrongfulPart(fleet) < 0.05);
+}
+
+}  // namespace
+}  // namespace rosemarywinch
