Lend allowances safely, and to where demand is

Change: refill before freeing, and only from the time the term is settled. Cause of wrongful refusals: a share moved only by a cut and its confirmation, two polls; the first node took all of the burst; small counts made demand jump. Change: nodes release what they no longer need and say so at once; tokens given back are counted in total, so that a lost report loses nothing; shares are at most 1.5 times demand; a part of the burst is always left; a refused node polls soon, later each time.

--- a/include/rosemarywinch/decisions/control/allowance_bucket.h
+++ b/include/rosemarywinch/decisions/control/allowance_bucket.h
@@ -9,6 +9,11 @@
 
 namespace rosemarywinch {
 
+/// Rate that a node with this demand may keep, in requests/s: enough headroom
+/// for it to rise between two polls, and no more, so that the rest can go where
+/// it is needed.
+double KeptRate(double demand);
+
 /// A node's share of one client account's rate and burst. The caller
 /// serialises all calls.
 class AllowanceBucket {
@@ -17,7 +22,7 @@
   bool TryTake(TimePoint now);
 
   /// Counts a request as offered, whether or not it is let in.
-  void CountOffer() { m_offers += 1; }
+  void CountOffer(TimePoint now);
 
   /// Tells whether the node holds a share whose lease lives.
   bool HasShare(TimePoint now) const;
@@ -31,11 +36,20 @@
   /// Applies a grant, each number once, and extends the lease.
   void Apply(TimePoint now, const AllowanceGrant& grant, TimePoint lease_end);
 
+  /// Tells whether demand has stopped while a share worth having is held, so
+  /// that the next poll should not wait.
+  bool ShouldReleaseSoon(TimePoint now) const;
+
   /// Tells whether nothing was offered for so long that the share can go.
   bool IsIdle(TimePoint now) const;
 
  private:
   void Refill(TimePoint now);
+  bool HasStopped(TimePoint now) const;
+  void UpdateDemand(TimePoint now);
+  void ReleaseUnused();
+  /// Takes over a share; tokens that no longer fit are given back.
+  void Reshape(double rate, double burst);
 
   double m_rate = 0;
   double m_burst = 0;
@@ -47,7 +61,7 @@
   TimePoint m_refilled;
   TimePoint m_lease_end;
   TimePoint m_reported;
-  TimePoint m_last_demand;
+  TimePoint m_last_offer;
 };
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/decisions/control/allowance_lender.h
+++ b/include/rosemarywinch/decisions/control/allowance_lender.h
@@ -52,10 +52,15 @@
     AllowanceGrant grant;
     AllowanceLimit bound;
     bool confirmed = true;
+    /// What the node has given back in all, as far as it was counted.
+    double returned = 0;
     TimePoint lease_end;
   };
 
   void Refill(TimePoint now, const AllowanceLimit& limit);
+  Holder& HolderOf(TimePoint now,
+                   const std::string& node,
+                   const AllowanceReport& report);
   void Confirm(Holder& holder, const AllowanceReport& report);
   AllowanceLimit Target(const AllowanceLimit& limit,
                         const Holder& holder) const;
--- a/include/rosemarywinch/programs/control_poller.h
+++ b/include/rosemarywinch/programs/control_poller.h
@@ -47,6 +47,8 @@
 
  private:
   void PollLoop();
+  /// Returns whether the next poll is made before the interval is over.
+  bool WaitForNextPoll(std::unique_lock<std::mutex>& lock, Duration pause);
   void PollOnce(bool leaving);
   PollRequest MakeRequest(bool leaving);
   void NoteReachable(bool reachable, const std::string& why);
--- a/include/rosemarywinch/programs/node_state.h
+++ b/include/rosemarywinch/programs/node_state.h
@@ -53,6 +53,9 @@
   /// Returns false for those.
   bool ApplyPoll(TimePoint sent, const PollResponse& response);
 
+  /// Tells whether a share is held that other nodes could use.
+  bool ShouldPollSoon();
+
   /// Counts a request of `account` and takes a token for it, waiting a little
   /// for a first share. Returns how long to wait when there is none.
   std::optional<Duration> TakeAllowance(const std::string& account);
--- a/src/decisions/control/allowance_bucket.cc
+++ b/src/decisions/control/allowance_bucket.cc
@@ -10,12 +10,27 @@
 constexpr Duration kIdleAfter{10'000};
 constexpr Duration kRetryWithoutShare{1'000};
 constexpr Duration kLongestRetry{60'000};
-// Demand falls to this part with each report without requests.
-constexpr double kDemandDecay = 0.5;
+// Weight of a span whose count is within what chance makes of the demand.
+constexpr double kDemandWeight = 0.2;
+// Deviation from the expected count, in its square roots, that is no chance. A
+// rise is believed sooner than a fall: too small a share refuses requests.
+constexpr double kSignificantRise = 1.5;
+constexpr double kSignificantFall = 3.0;
+// Requests that would have come by now if demand went on.
+constexpr double kMissedToBeIdle = 10.0;
+constexpr double kHeadroom = 4.0;
+constexpr double kLeastKeptRate = 1.0;
+// A share is cut only when the cut is at least this part of it.
+constexpr double kWorthReleasing = 0.1;
 constexpr double kMinSpanSeconds = 0.05;
+constexpr double kFirstSpanSeconds = 1.0;
 
 }  // namespace
 
+double KeptRate(double demand) {
+  return std::max(kLeastKeptRate, demand * kHeadroom);
+}
+
 bool AllowanceBucket::TryTake(TimePoint now) {
   Refill(now);
   if (m_tokens < 1) {
@@ -25,6 +40,11 @@
   return true;
 }
 
+void AllowanceBucket::CountOffer(TimePoint now) {
+  m_offers += 1;
+  m_last_offer = now;
+}
+
 bool AllowanceBucket::HasShare(TimePoint now) const {
   return now < m_lease_end && m_burst > 0;
 }
@@ -41,13 +61,8 @@
 AllowanceReport AllowanceBucket::Report(TimePoint now,
                                         const std::string& account) {
   Refill(now);
-  const double span = std::max((now - m_reported).Seconds(), kMinSpanSeconds);
-  m_demand = std::max(m_offers / span, m_demand * kDemandDecay);
-  if (m_offers > 0) {
-    m_last_demand = now;
-  }
-  m_offers = 0;
-  m_reported = now;
+  UpdateDemand(now);
+  ReleaseUnused();
   return {account, m_demand, m_rate, m_burst, m_returned, m_grant};
 }
 
@@ -60,15 +75,53 @@
     return;
   }
   m_grant = grant.grant;
-  m_rate = grant.rate;
-  m_burst = grant.burst;
-  const double tokens = m_tokens + grant.tokens;
-  m_returned = std::max(0.0, tokens - m_burst);
-  m_tokens = std::min(tokens, m_burst);
+  m_tokens += grant.tokens;
+  Reshape(grant.rate, grant.burst);
 }
 
 bool AllowanceBucket::IsIdle(TimePoint now) const {
-  return m_offers == 0 && now >= m_last_demand + kIdleAfter;
+  return now >= m_last_offer + kIdleAfter;
+}
+
+bool AllowanceBucket::ShouldReleaseSoon(TimePoint now) const {
+  return m_rate > kLeastKeptRate * kHeadroom && HasStopped(now);
+}
+
+bool AllowanceBucket::HasStopped(TimePoint now) const {
+  return (now - m_last_offer).Seconds() * m_demand > kMissedToBeIdle;
+}
+
+void AllowanceBucket::UpdateDemand(TimePoint now) {
+  const bool first = m_reported == TimePoint{};
+  const double span =
+      first ? kFirstSpanSeconds
+            : std::max((now - m_reported).Seconds(), kMinSpanSeconds);
+  const double expected = m_demand * span;
+  const double chance = std::sqrt(std::max(expected, 1.0));
+  const double rise = (m_offers - expected) / chance;
+  if (HasStopped(now)) {
+    m_demand = 0;
+  } else if (rise > kSignificantRise || -rise > kSignificantFall) {
+    m_demand = m_offers / span;
+  } else {
+    m_demand += kDemandWeight * (m_offers / span - m_demand);
+  }
+  m_offers = 0;
+  m_reported = now;
+}
+
+void AllowanceBucket::ReleaseUnused() {
+  const double kept = KeptRate(m_demand);
+  if (kept < m_rate * (1 - kWorthReleasing)) {
+    Reshape(kept, m_burst * kept / m_rate);
+  }
+}
+
+void AllowanceBucket::Reshape(double rate, double burst) {
+  m_rate = rate;
+  m_burst = burst;
+  m_returned += std::max(0.0, m_tokens - m_burst);
+  m_tokens = std::min(m_tokens, m_burst);
 }
 
 void AllowanceBucket::Refill(TimePoint now) {
@@ -82,7 +135,6 @@
     m_rate = 0;
     m_burst = 0;
     m_tokens = 0;
-    m_returned = 0;
   }
 }
 
--- a/src/decisions/control/allowance_lender.cc
+++ b/src/decisions/control/allowance_lender.cc
@@ -3,20 +3,30 @@
 #include <algorithm>
 #include <cmath>
 
+#include "rosemarywinch/decisions/control/allowance_bucket.h"
 #include "rosemarywinch/decisions/control/lease.h"
 
 namespace rosemarywinch {
 
 namespace {
 
-// Part of rate and burst that stays in the reserve, so that a node which meets
+// Parts of rate and burst that stay in the reserve, so that a node which meets
 // an account for the first time gets tokens with its first report.
-constexpr double kReservePart = 0.2;
+constexpr double kRateReserve = 0.05;
+constexpr double kBurstReserve = 0.4;
 // Demand that counts for a node that has just met the account, requests/s.
 constexpr double kFirstDemand = 1.0;
+// Rate that is lent for each request/s of demand while there is plenty; what
+// is not lent can go to other nodes at once.
+constexpr double kLentHeadroom = 1.5;
+// Burst that is lent while there is plenty, as seconds of demand on top of a
+// few requests.
+constexpr double kLentBurstSeconds = 2.0;
+constexpr double kFirstBurst = 1.0;
+constexpr double kBurstStep = 0.1;
 // Changes of a share smaller than this part are not worth a grant.
-constexpr double kShareTolerance = 0.05;
-// Demand below this, in requests/s, gives up the share.
+constexpr double kShareTolerance = 0.1;
+// Demand below this, in requests/s, counts as this much.
 constexpr double kIdleDemand = 0.01;
 
 bool IsClose(double a, double b) {
@@ -32,8 +42,23 @@
                                          const AllowanceLimit& limit,
                                          const std::string& node,
                                          const AllowanceReport& report) {
-  ExpireLeases(now);
+  // The reserve fills at what was free until now, so before leases end.
   Refill(now, limit);
+  ExpireLeases(now);
+  Holder& holder = HolderOf(now, node, report);
+  holder.demand = report.demand;
+  holder.lease_end = now + LessorWait(m_lease);
+  Confirm(holder, report);
+  if (holder.confirmed && Settled(now)) {
+    NextGrant(holder, limit);
+  }
+  return holder.grant;
+}
+
+AllowanceLender::Holder& AllowanceLender::HolderOf(
+    TimePoint now,
+    const std::string& node,
+    const AllowanceReport& report) {
   const auto [entry, added] = m_holders.try_emplace(node);
   Holder& holder = entry->second;
   if (added) {
@@ -45,14 +70,9 @@
     holder.grant.account = report.account;
     holder.grant.grant = report.grant;
     holder.bound = {holder.grant.rate, holder.grant.burst};
+    holder.returned = report.returned;
   }
-  holder.demand = report.demand;
-  holder.lease_end = now + LessorWait(m_lease);
-  Confirm(holder, report);
-  if (holder.confirmed && Settled(now)) {
-    NextGrant(holder, limit);
-  }
-  return holder.grant;
+  return holder;
 }
 
 void AllowanceLender::ExpireLeases(TimePoint now) {
@@ -71,8 +91,12 @@
 }
 
 void AllowanceLender::Refill(TimePoint now, const AllowanceLimit& limit) {
+  // Until the term is settled, what looks free may be lent by an earlier
+  // lender.
+  const TimePoint settled = m_since + LessorWait(m_lease);
+  m_refilled = std::max(m_refilled, std::min(now, settled));
   const AllowanceLimit lent = Lent();
-  const double rate = Settled(now) ? std::max(0.0, limit.rate - lent.rate) : 0;
+  const double rate = std::max(0.0, limit.rate - lent.rate);
   const double burst = std::max(0.0, limit.burst - lent.burst);
   const double seconds = (now - m_refilled).Seconds();
   m_tokens = std::min(burst, m_tokens + rate * seconds);
@@ -80,13 +104,17 @@
 }
 
 void AllowanceLender::Confirm(Holder& holder, const AllowanceReport& report) {
-  if (holder.confirmed || report.grant < holder.grant.grant) {
+  if (report.grant < holder.grant.grant) {
     return;
   }
+  // The node holds what it reports, and nothing else until the next grant.
   holder.confirmed = true;
-  holder.bound = {holder.grant.rate, holder.grant.burst};
+  holder.grant.rate = std::min(holder.grant.rate, report.rate);
+  holder.grant.burst = std::min(holder.grant.burst, report.burst);
   holder.grant.tokens = 0;
-  m_tokens += report.returned;
+  holder.bound = {holder.grant.rate, holder.grant.burst};
+  m_tokens += std::max(0.0, report.returned - holder.returned);
+  holder.returned = report.returned;
 }
 
 AllowanceLimit AllowanceLender::Target(const AllowanceLimit& limit,
@@ -95,9 +123,12 @@
   for (const auto& [node, other] : m_holders) {
     total += std::max(other.demand, kIdleDemand);
   }
-  const double demand = std::max(holder.demand, kIdleDemand);
-  const double part = (1 - kReservePart) * demand / total;
-  return {limit.rate * part, limit.burst * part};
+  const double part = std::max(holder.demand, kIdleDemand) / total;
+  const double wanted = kFirstDemand + holder.demand * kLentHeadroom;
+  const double wanted_burst = kFirstBurst + holder.demand * kLentBurstSeconds;
+  return {std::min(limit.rate * (1 - kRateReserve) * part, wanted),
+          std::max(1.0, std::min(limit.burst * (1 - kBurstReserve) * part,
+                                 wanted_burst))};
 }
 
 void AllowanceLender::NextGrant(Holder& holder, const AllowanceLimit& limit) {
@@ -107,7 +138,10 @@
   const double free_burst = std::max(0.0, limit.burst - lent.burst);
   AllowanceGrant next = holder.grant;
   next.rate = std::min(target.rate, holder.bound.rate + free_rate);
-  next.burst = std::min(target.burst, holder.bound.burst + free_burst);
+  // A part of what is free is always left for the nodes that come next.
+  const double step =
+      std::min(free_burst, std::max(1.0, free_burst * kBurstStep));
+  next.burst = std::min(target.burst, holder.bound.burst + step);
   const double growth = std::max(0.0, next.burst - holder.bound.burst);
   next.tokens = TokensToLend(holder, next.burst, free_burst - growth);
   const bool same_share = IsClose(next.rate, holder.grant.rate) &&
--- a/src/programs/control_poller.cc
+++ b/src/programs/control_poller.cc
@@ -1,5 +1,6 @@
 #include "rosemarywinch/programs/control_poller.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -9,7 +10,10 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kSmallestPause{100};
+// Pause before an urgent poll; it doubles with each urgent poll in a row, so
+// that an account over its rate costs two polls an interval and no more.
+constexpr Duration kSmallestPause{100};
+constexpr std::chrono::milliseconds kReleaseCheck{100};
 constexpr Duration kPollTimeout{1500};
 
 }  // namespace
@@ -62,6 +66,7 @@
 }
 
 void ControlPoller::PollLoop() {
+  Duration pause = kSmallestPause;
   std::unique_lock lock(m_mutex);
   while (!m_stopping) {
     const bool leaving = m_leaving;
@@ -71,13 +76,29 @@
     lock.lock();
     m_left = m_left || (leaving && m_reachable);
     m_changed.notify_all();
+    const bool urgent = WaitForNextPoll(lock, pause);
+    pause = urgent ? std::min(pause * 2, m_options.interval) : kSmallestPause;
+  }
+}
+
+bool ControlPoller::WaitForNextPoll(std::unique_lock<std::mutex>& lock,
+                                    Duration pause) {
+  const auto polled = std::chrono::steady_clock::now();
+  const auto due = polled + std::chrono::milliseconds(m_options.interval.ms);
+  m_changed.wait_until(lock, polled + std::chrono::milliseconds(pause.ms),
+                       [this] { return m_stopping; });
+  while (!m_stopping && !m_urgent) {
     const auto now = std::chrono::steady_clock::now();
-    const std::chrono::milliseconds interval(m_options.interval.ms);
-    m_changed.wait_until(lock, now + kSmallestPause,
-                         [this] { return m_stopping; });
-    m_changed.wait_until(lock, now + interval,
+    if (now >= due) {
+      return false;
+    }
+    if (m_state.ShouldPollSoon()) {
+      return true;
+    }
+    m_changed.wait_until(lock, std::min(now + kReleaseCheck, due),
                          [this] { return m_stopping || m_urgent; });
   }
+  return true;
 }
 
 void ControlPoller::PollOnce(bool leaving) {
--- a/src/programs/node_state.cc
+++ b/src/programs/node_state.cc
@@ -104,9 +104,21 @@
   }
 }
 
+bool NodeState::ShouldPollSoon() {
+  bool soon = false;
+  const TimePoint now = m_clock.Now();
+  m_buckets.ForEach([&](const Buckets& buckets) {
+    for (const auto& [account, bucket] : buckets) {
+      soon = soon || bucket.ShouldReleaseSoon(now);
+    }
+  });
+  return soon;
+}
+
 std::optional<Duration> NodeState::TakeAllowance(const std::string& account) {
-  m_buckets.With(account,
-                 [&](Buckets& buckets) { buckets[account].CountOffer(); });
+  m_buckets.With(account, [&](Buckets& buckets) {
+    buckets[account].CountOffer(m_clock.Now());
+  });
   std::optional<Duration> wait;
   RetryOnNews([&] {
     return m_buckets.With(account, [&](Buckets& buckets) {
@@ -117,6 +129,9 @@
       return taken || bucket.HasShare(now);
     });
   });
+  if (wait && m_poke) {
+    m_poke();
+  }
   return wait;
 }
 
--- a/tests/unit-allowance.cpp
+++ b/tests/unit-allowance.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kLease{3000};
 constexpr Duration kPoll{1000};
 constexpr Duration kStep{10};
+constexpr Duration kUrgentPause{100};
 
 // One bucket with the whole limit: what no pattern of use may pass.
 class ReferenceBucket {
@@ -47,10 +48,11 @@
   Fleet(size_t nodes, AllowanceLimit limit, uint64_t seed)
       : m_random(seed), m_limit(limit), m_nodes(nodes) {
     for (size_t i = 0; i < nodes; ++i) {
-      m_nodes[i].next_poll = now + Duration{static_cast<int64_t>(
-                                       m_random.Below(kPoll.ms))};
+      m_nodes[i].next_poll =
+          now + Duration{static_cast<int64_t>(m_random.Below(kPoll.ms))};
     }
-    m_lender.emplace(now - LessorWait(kLease), kLease);
+    // The term began long ago, so the reserve is full.
+    m_lender.emplace(now - Duration{1'000'000}, kLease);
     m_reference.emplace(limit, now);
   }
 
@@ -66,7 +68,9 @@
           node.owed -= 1;
           Request(node);
         }
-        if (now >= node.next_poll) {
+        const bool early = node.bucket.ShouldReleaseSoon(now) &&
+                           now >= node.last_poll + kUrgentPause;
+        if (now >= node.next_poll || early) {
           Poll(node, i);
         }
       }
@@ -83,7 +87,7 @@
   uint64_t taken = 0;
   double least_tokens = 1e9;
   uint32_t loss_percent = 0;
-  TimePoint now{1'000'000};
+  TimePoint now{5'000'000};
 
  private:
   struct Node {
@@ -92,11 +96,13 @@
     double owed = 0;
     bool cut = false;
     bool knows_account = false;
+    TimePoint last_poll;
+    Duration pause = kUrgentPause;
   };
 
   void Request(Node& node) {
     ++offered;
-    node.bucket.CountOffer();
+    node.bucket.CountOffer(now);
     if (!node.knows_account) {
       // The first request makes the node poll at once and waits for it.
       node.knows_account = true;
@@ -105,14 +111,23 @@
     if (node.bucket.TryTake(now)) {
       ++taken;
       least_tokens = std::min(least_tokens, m_reference->Take(now));
+    } else {
+      // A refusal makes the node poll soon, later each time.
+      const TimePoint urgent = node.last_poll + node.pause;
+      node.next_poll = std::min(node.next_poll, std::max(now, urgent));
     }
   }
 
   void Poll(Node& node, size_t index) {
+    const bool urgent = now < node.last_poll + kPoll;
+    node.pause = urgent ? std::min(node.pause * 2, kPoll) : kUrgentPause;
+    node.last_poll = now;
     node.next_poll = now + kPoll;
+    if (!node.knows_account) {
+      return;
+    }
     const AllowanceReport report = node.bucket.Report(now, "acme");
-    if (node.cut || m_random.Below(100) < loss_percent ||
-        !node.knows_account) {
+    if (node.cut || m_random.Below(100) < loss_percent) {
       return;
     }
     const AllowanceGrant grant =
--- a/tests/unit-consensus.cpp
+++ b/tests/unit-consensus.cpp
@@ -128,8 +128,8 @@
         continue;
       }
       Host& host = m_hosts[to];
-      const bool cut = m_cut.contains(to) ||
-                       m_cut.contains(flight.message.from.replica_id);
+      const bool cut =
+          m_cut.contains(to) || m_cut.contains(flight.message.from.replica_id);
       if (host.running && !cut) {
         CarryOut(to, host.replica->Receive(now, flight.message));
       }
