Let requests wait a little for a larger share

A node that met the account got one token and 2.5 requests/s, and every further poll came later. Ruled out: the term (already settled), the backend servers (E501 only).

--- a/include/rosemarywinch/programs/node_state.h
+++ b/include/rosemarywinch/programs/node_state.h
@@ -57,7 +57,7 @@
   bool ShouldPollSoon();
 
   /// Counts a request of `account` and takes a token for it, waiting a little
-  /// for a first share. Returns how long to wait when there is none.
+  /// for control to lend more. Returns how long to wait when there is none.
   std::optional<Duration> TakeAllowance(const std::string& account);
 
   /// Chooses a member of the service; see Router::Choose(). A service that is
@@ -75,7 +75,12 @@
   void OnUrgent(std::function<void()> poke) { m_poke = std::move(poke); }
 
  private:
-  using Buckets = std::map<std::string, AllowanceBucket>;
+  struct AccountShare {
+    AllowanceBucket bucket;
+    /// Requests that wait for control to lend more.
+    uint32_t waiting = 0;
+  };
+  using Buckets = std::map<std::string, AccountShare>;
   using Routers = std::map<std::string, Router>;
 
   void ApplyConfig(const PollResponse& response);
--- a/src/decisions/control/allowance_lender.cc
+++ b/src/decisions/control/allowance_lender.cc
@@ -23,6 +23,9 @@
 // few requests.
 constexpr double kLentBurstSeconds = 2.0;
 constexpr double kFirstBurst = 1.0;
+// Parts of what is free that a node gets whatever its demand.
+constexpr double kFirstRatePart = 0.05;
+constexpr double kFirstBurstPart = 0.02;
 constexpr double kBurstStep = 0.1;
 // Changes of a share smaller than this part are not worth a grant.
 constexpr double kShareTolerance = 0.1;
@@ -124,9 +127,14 @@
     total += std::max(other.demand, kIdleDemand);
   }
   const double part = std::max(holder.demand, kIdleDemand) / total;
-  const double wanted = kFirstDemand + holder.demand * kLentHeadroom;
-  const double wanted_burst = kFirstBurst + holder.demand * kLentBurstSeconds;
-  return {std::min(limit.rate * (1 - kRateReserve) * part, wanted),
+  const AllowanceLimit lent = Lent();
+  const double wanted_rate =
+      std::max(kFirstDemand + holder.demand * kLentHeadroom,
+               kFirstRatePart * (limit.rate - lent.rate));
+  const double wanted_burst =
+      std::max(kFirstBurst + holder.demand * kLentBurstSeconds,
+               kFirstBurstPart * (limit.burst - lent.burst));
+  return {std::min(limit.rate * (1 - kRateReserve) * part, wanted_rate),
           std::max(1.0, std::min(limit.burst * (1 - kBurstReserve) * part,
                                  wanted_burst))};
 }
--- a/src/programs/node_state.cc
+++ b/src/programs/node_state.cc
@@ -13,6 +13,8 @@
 // Longest wait of a request for an account's first share or a service's first
 // members; about two urgent polls.
 constexpr Duration kFirstContactWait{400};
+// Requests of one account that may wait at a time; others are refused at once.
+constexpr uint32_t kMaxWaitingPerAccount = 32;
 
 }  // namespace
 
@@ -41,10 +43,11 @@
   });
   const TimePoint now = m_clock.Now();
   m_buckets.ForEach([&](Buckets& buckets) {
-    std::erase_if(buckets,
-                  [&](const auto& entry) { return entry.second.IsIdle(now); });
-    for (auto& [account, bucket] : buckets) {
-      request.allowances.push_back(bucket.Report(now, account));
+    std::erase_if(buckets, [&](const auto& entry) {
+      return entry.second.waiting == 0 && entry.second.bucket.IsIdle(now);
+    });
+    for (auto& [account, share] : buckets) {
+      request.allowances.push_back(share.bucket.Report(now, account));
     }
   });
 }
@@ -74,7 +77,7 @@
   }
   for (const AllowanceGrant& grant : response.allowances) {
     m_buckets.With(grant.account, [&](Buckets& buckets) {
-      buckets[grant.account].Apply(now, grant, lease_end);
+      buckets[grant.account].bucket.Apply(now, grant, lease_end);
     });
   }
   std::scoped_lock lock(m_config_mutex);
@@ -108,28 +111,37 @@
   bool soon = false;
   const TimePoint now = m_clock.Now();
   m_buckets.ForEach([&](const Buckets& buckets) {
-    for (const auto& [account, bucket] : buckets) {
-      soon = soon || bucket.ShouldReleaseSoon(now);
+    for (const auto& [account, share] : buckets) {
+      soon = soon || share.bucket.ShouldReleaseSoon(now);
     }
   });
   return soon;
 }
 
 std::optional<Duration> NodeState::TakeAllowance(const std::string& account) {
-  m_buckets.With(account, [&](Buckets& buckets) {
-    buckets[account].CountOffer(m_clock.Now());
-  });
   std::optional<Duration> wait;
-  RetryOnNews([&] {
-    return m_buckets.With(account, [&](Buckets& buckets) {
-      AllowanceBucket& bucket = buckets[account];
-      const TimePoint now = m_clock.Now();
-      const bool taken = bucket.TryTake(now);
-      wait = taken ? std::nullopt : std::optional(bucket.RetryAfter(now));
-      return taken || bucket.HasShare(now);
-    });
+  const auto try_take = [&](Buckets& buckets) {
+    AllowanceBucket& bucket = buckets[account].bucket;
+    const TimePoint now = m_clock.Now();
+    const bool taken = bucket.TryTake(now);
+    wait = taken ? std::nullopt : std::optional(bucket.RetryAfter(now));
+    return taken;
+  };
+  const bool settled = m_buckets.With(account, [&](Buckets& buckets) {
+    AccountShare& share = buckets[account];
+    share.bucket.CountOffer(m_clock.Now());
+    if (try_take(buckets) || share.waiting >= kMaxWaitingPerAccount) {
+      return true;
+    }
+    ++share.waiting;
+    return false;
   });
-  if (wait && m_poke) {
+  if (!settled) {
+    // Control may have more for this node than it has asked for so far.
+    RetryOnNews([&] { return m_buckets.With(account, try_take); });
+    m_buckets.With(account,
+                   [&](Buckets& buckets) { --buckets[account].waiting; });
+  } else if (wait && m_poke) {
     m_poke();
   }
   return wait;
