Prove control by processes under kill, loss, freeze and cuts

Cause: the promises on settings and keys had no test of separate processes. Found: a change failed with E404 when its leader died during the first read of the version; only the change itself was sent again. Reads are sent again too. Ruled out: a lost change (history held each change once).

--- a/include/rosemarywinch/programs/operator_commands.h
+++ b/include/rosemarywinch/programs/operator_commands.h
@@ -96,7 +96,10 @@
   Result<FleetState> ReadState();
   Result<ExitCode> ChangeTreeBy(std::vector<Edit> edits);
   Result<ExitCode> Submit(decltype(FleetCommand::change) change);
-  Result<CommandResponse> SubmitUntilAnswered(const FleetCommand& command);
+  template <typename Response, typename Request>
+  Result<Response> CallUntilAnswered(const std::string& method,
+                                     const Request& request,
+                                     Duration timeout);
 
   const OperatorSettings m_settings;
   Parts m_parts;
--- a/src/programs/operator_commands.cc
+++ b/src/programs/operator_commands.cc
@@ -23,12 +23,12 @@
 constexpr size_t kKeyIdBytes = 8;
 constexpr size_t kKeySecretBytes = 32;
 constexpr Duration kCallTimeout{3000};
-// Time for which a change is sent again while its answer stays out.
-constexpr Duration kSubmitLimit{15'000};
-constexpr std::chrono::milliseconds kSubmitPause{200};
+// Time for which a call is sent again while its answer stays out.
+constexpr Duration kAnswerLimit{15'000};
+constexpr std::chrono::milliseconds kAnswerPause{200};
 
-// Errors after which a change may or may not be accepted, so that it is sent
-// again under the same operation id.
+// Errors after which the call may or may not have been carried out, so that it
+// is sent again.
 bool AnswerIsOpen(const Error& error) {
   return error.id == ErrorId::kNotLeader || error.id == ErrorId::kUnreachable ||
          error.id == ErrorId::kNotAccepted;
@@ -212,7 +212,7 @@
 
 Result<FleetState> OperatorCommands::ReadState() {
   BOOST_LEAF_AUTO(
-      response, m_parts.control.Call<StateResponse>(
+      response, CallUntilAnswered<StateResponse>(
                     "operator.state", StateRequest{consensus::kProtocolVersion},
                     kCallTimeout));
   return std::move(response.state);
@@ -236,7 +236,13 @@
   command.author = m_settings.author;
   command.unix_time = m_parts.clock.UnixTime();
   command.change = std::move(change);
-  BOOST_LEAF_AUTO(response, SubmitUntilAnswered(command));
+  const CommandRequest request{consensus::kProtocolVersion, command,
+                               m_settings.wait};
+  // A change that may be accepted already is sent again under the same
+  // operation id, which gets the first answer.
+  BOOST_LEAF_AUTO(response, CallUntilAnswered<CommandResponse>(
+                                "operator.command", request,
+                                m_settings.wait + kCallTimeout));
   const CommandResult& result = response.result;
   if (result.error != ErrorId::kNone) {
     std::cout << "not accepted: "
@@ -253,15 +259,14 @@
   return ExitCode::kNotYetInForce;
 }
 
-Result<CommandResponse> OperatorCommands::SubmitUntilAnswered(
-    const FleetCommand& command) {
-  const TimePoint deadline = m_parts.clock.Now() + kSubmitLimit;
-  const CommandRequest request{consensus::kProtocolVersion, command,
-                               m_settings.wait};
+template <typename Response, typename Request>
+Result<Response> OperatorCommands::CallUntilAnswered(const std::string& method,
+                                                     const Request& request,
+                                                     Duration timeout) {
+  const TimePoint deadline = m_parts.clock.Now() + kAnswerLimit;
   while (true) {
-    const Outcome<CommandResponse> outcome = Capture([&] {
-      return m_parts.control.Call<CommandResponse>(
-          "operator.command", request, m_settings.wait + kSubmitLimit);
+    const Outcome<Response> outcome = Capture([&] {
+      return m_parts.control.Call<Response>(method, request, timeout);
     });
     const auto* error = std::get_if<Error>(&outcome);
     const bool settled = error == nullptr || !AnswerIsOpen(*error) ||
@@ -269,7 +274,7 @@
     if (settled) {
       return Release(outcome);
     }
-    Pause(kSubmitPause);
+    Pause(kAnswerPause);
   }
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -49,9 +49,12 @@
     return folder.At("data" + std::to_string(id));
   }
 
-  // Starts a node; returns its number.
-  size_t StartNode(std::vector<std::string> arguments = {}) {
-    std::vector<std::string> words{"node", "--control", ControlList()};
+  // Starts a node; returns its number. `control` stands for the replicas when
+  // it reaches them through a relay.
+  size_t StartNode(std::vector<std::string> arguments = {},
+                   const std::string& control = "") {
+    std::vector<std::string> words{"node", "--control",
+                                   control.empty() ? ControlList() : control};
     words.insert(words.end(), arguments.begin(), arguments.end());
     nodes.push_back(std::make_unique<Process>(
         "rosemarywinch", words,
@@ -216,6 +219,8 @@
     return ready;
   }
 
+  uint16_t ControlPort(uint32_t id) const { return m_control_ports.at(id); }
+
   TempFolder folder;
   CurlChannel channel;
   std::map<uint32_t, Process> controls;
