Tell a repeat 'not run' only where that is certain

Cause: a booking that had run was answered 'not-run' when its repeat met the dead node it is bound to (process-traffic, a_killed_node...), and by reading the code also when the backend server was gone or the entry refused the repeat: the refusal spoke of the attempt, the caller read it of the request. Ruled out: a second run (the other backend server saw 0 requests). Change: the gate asks its record before it looks at the backend server; an unreachable or vanished bound node gives 'unknown'; a refusal at the entry asks the bound node whether anything began under the id, and says 'unknown' unless it is certain that nothing did. process-traffic: eleven hops, kills, freezes, silent connections through a relay, planned stops, four times the capacity. Conclusion: costs one more call between nodes for refused repeats only.

--- a/gen/rosemarywinch/schema/settings.h
+++ b/gen/rosemarywinch/schema/settings.h
@@ -203,11 +203,12 @@
   Duration record_window{600000};
   LimitPolicy limit_policy = LimitPolicy::kAdaptive;
   uint32_t max_connections = 900;
+  std::string advertised_address;
 
   bool operator==(const NodeSettings&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 10> kNodeSettingsFields{{
+inline constexpr std::array<FieldInfo, 11> kNodeSettingsFields{{
     {"data_centre",
      "",
      0,
@@ -274,6 +275,14 @@
      "connections that each port accepts",
      "",
      {}},
+    {"advertised_address",
+     "",
+     0,
+     0,
+     "",
+     "HOST:PORT at which other nodes reach peer_port, if not as it listens",
+     "",
+     {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -290,6 +299,7 @@
   visit(kNodeSettingsFields[7], self.record_window);
   visit(kNodeSettingsFields[8], self.limit_policy);
   visit(kNodeSettingsFields[9], self.max_connections);
+  visit(kNodeSettingsFields[10], self.advertised_address);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -307,6 +317,8 @@
   visit(kNodeSettingsFields[7], self.record_window, other.record_window);
   visit(kNodeSettingsFields[8], self.limit_policy, other.limit_policy);
   visit(kNodeSettingsFields[9], self.max_connections, other.max_connections);
+  visit(kNodeSettingsFields[10], self.advertised_address,
+        other.advertised_address);
 }
 
 struct OperatorSettings {
--- a/include/rosemarywinch/core/text_value.h
+++ b/include/rosemarywinch/core/text_value.h
@@ -38,8 +38,8 @@
   constexpr double kLargestWhole = 9007199254740992.0;
   const std::optional<double> number = ParseNumber(text);
   const bool sized = number && std::abs(*number) <= kLargestWhole;
-  const bool whole = std::is_floating_point_v<T> ||
-                     (sized && *number == std::floor(*number));
+  const bool whole =
+      std::is_floating_point_v<T> || (sized && *number == std::floor(*number));
   const bool in_range =
       number &&
       (!field.HasRange() || (*number >= field.min && *number <= field.max));
--- a/include/rosemarywinch/decisions/traffic/request_ledger.h
+++ b/include/rosemarywinch/decisions/traffic/request_ledger.h
@@ -67,6 +67,9 @@
   /// No attempt under this id may ever begin here; false when one has begun.
   bool Fence(TimePoint now, const std::string& id);
 
+  /// Tells whether it is certain that no attempt under this id has begun.
+  bool IsFresh(TimePoint now, const std::string& id);
+
   /// Answers larger than this are not kept; a repeat learns that it ran.
   static constexpr size_t kMaxAnswerBytes = 64 * 1024;
 
--- a/include/rosemarywinch/programs/backend_gate.h
+++ b/include/rosemarywinch/programs/backend_gate.h
@@ -54,6 +54,9 @@
   /// Makes sure that the id never runs here, unless it has begun already.
   bool Fence(const std::string& id);
 
+  /// Tells whether it is certain that nothing has run here under the id.
+  bool IsFresh(const std::string& id);
+
   /// Tells whether the attempt is in progress here.
   bool IsRunning(const std::string& attempt);
 
@@ -81,6 +84,9 @@
   CallReport RunOnce(const HopEnvelope& envelope,
                      HttpRequest request,
                      TimePoint deadline);
+  CallReport RunIfReady(const HopEnvelope& envelope,
+                        HttpRequest request,
+                        TimePoint deadline);
   CallReport RunAdmitted(const HopEnvelope& envelope,
                          HttpRequest request,
                          TimePoint deadline);
--- a/include/rosemarywinch/programs/entry_handler.h
+++ b/include/rosemarywinch/programs/entry_handler.h
@@ -67,6 +67,9 @@
   HttpResponse Serve(Visit& visit,
                      const HttpRequest& request,
                      const std::optional<NestedCall>& nested);
+  CallOutcome RefusedAtEntry(const Visit& visit,
+                             const HttpRequest& request,
+                             const Error& error);
   Result<Done> Prepare(Visit& visit,
                        const HttpRequest& request,
                        const std::optional<NestedCall>& nested);
--- a/include/rosemarywinch/programs/forwarder.h
+++ b/include/rosemarywinch/programs/forwarder.h
@@ -37,9 +37,14 @@
   Result<std::string> OfferId(const std::string& service,
                               const std::string& account);
 
+  /// Tells whether it is certain that nothing has run under the id, by asking
+  /// the node that alone may run it.
+  bool IsFresh(const std::string& id);
+
   /// Paths that nodes serve to each other besides requests.
   static inline const std::string kOfferPath = "/rosemarywinch/offer";
   static inline const std::string kFencePath = "/rosemarywinch/fence";
+  static inline const std::string kFreshPath = "/rosemarywinch/fresh";
   static inline const std::string kAttemptPath = "/rosemarywinch/attempt";
 
  private:
--- a/src/decisions/traffic/request_ledger.cc
+++ b/src/decisions/traffic/request_ledger.cc
@@ -108,6 +108,14 @@
   });
 }
 
+bool RequestLedger::IsFresh(TimePoint now, const std::string& id) {
+  if (CheckId(now, id)) {
+    return false;
+  }
+  return m_shards.With(
+      id, [&](const Shard& shard) { return !shard.records.contains(id); });
+}
+
 std::optional<Error> RequestLedger::CheckId(TimePoint now,
                                             const std::string& id) const {
   const Outcome<RequestIdParts> parsed =
--- a/src/programs/backend_gate.cc
+++ b/src/programs/backend_gate.cc
@@ -68,12 +68,9 @@
 CallReport BackendGate::Run(const HopEnvelope& envelope, HttpRequest request) {
   const AttemptMark mark(m_attempts, envelope.attempt);
   const TimePoint deadline = m_clock.Now() + envelope.timeout;
-  if (auto error = CheckBackend(envelope)) {
-    return Refuse(envelope, std::move(*error));
-  }
   return envelope.at_most_once
              ? RunOnce(envelope, std::move(request), deadline)
-             : RunAdmitted(envelope, std::move(request), deadline);
+             : RunIfReady(envelope, std::move(request), deadline);
 }
 
 bool BackendGate::Announce(const Announcement& announcement) {
@@ -127,6 +124,10 @@
   return m_ledger.Fence(m_clock.Now(), id);
 }
 
+bool BackendGate::IsFresh(const std::string& id) {
+  return m_ledger.IsFresh(m_clock.Now(), id);
+}
+
 bool BackendGate::IsRunning(const std::string& attempt) {
   return m_attempts.With(attempt, [&](const auto& attempts) {
     return attempts.contains(attempt);
@@ -191,7 +192,7 @@
     }
     return report;
   }
-  CallReport report = RunAdmitted(envelope, std::move(request), deadline);
+  CallReport report = RunIfReady(envelope, std::move(request), deadline);
   std::visit(
       Overloaded{[&](const Ran& ran) { m_ledger.Finish(id, ran.response); },
                  [&](const NotRun&) { m_ledger.Forget(id); },
@@ -200,6 +201,15 @@
   return report;
 }
 
+CallReport BackendGate::RunIfReady(const HopEnvelope& envelope,
+                                   HttpRequest request,
+                                   TimePoint deadline) {
+  if (auto error = CheckBackend(envelope)) {
+    return Refuse(envelope, std::move(*error));
+  }
+  return RunAdmitted(envelope, std::move(request), deadline);
+}
+
 CallReport BackendGate::RunAdmitted(const HopEnvelope& envelope,
                                     HttpRequest request,
                                     TimePoint deadline) {
--- a/src/programs/entry_handler.cc
+++ b/src/programs/entry_handler.cc
@@ -87,7 +87,7 @@
   CallReport report;
   report.retries_left = nested ? nested->retries : 0;
   if (const auto* error = std::get_if<Error>(&prepared)) {
-    report.outcome = NotRun{*error, visit.retry_after};
+    report.outcome = RefusedAtEntry(visit, request, *error);
   } else {
     HttpRequest forwarded = request;
     forwarded.path = visit.match->backend_path;
@@ -100,6 +100,18 @@
   return MakeResponse(visit, std::move(report));
 }
 
+CallOutcome EntryHandler::RefusedAtEntry(const Visit& visit,
+                                         const HttpRequest& request,
+                                         const Error& error) {
+  // An earlier attempt under the same id may have run; only the node that the
+  // id is bound to can rule that out.
+  const std::string* id = request.headers.Find(headers::kIdempotencyKey);
+  if (id != nullptr && !m_parts.forwarder.IsFresh(*id)) {
+    return UnknownOutcome{error};
+  }
+  return NotRun{error, visit.retry_after};
+}
+
 Result<Done> EntryHandler::Prepare(Visit& visit,
                                    const HttpRequest& request,
                                    const std::optional<NestedCall>& nested) {
--- a/src/programs/forwarder.cc
+++ b/src/programs/forwarder.cc
@@ -38,6 +38,15 @@
   return first_hop && retries > 0 ? 1 : 0;
 }
 
+// This attempt did not run, but only the node that cannot be asked knows
+// whether an earlier one under the same id did.
+CallReport Unvouched(CallReport report) {
+  const auto& refused = std::get<NotRun>(report.outcome);
+  const Error error{ErrorId::kOutcomeUnknown, refused.error.Message()};
+  report.outcome = UnknownOutcome{error};
+  return report;
+}
+
 CallResult ResultOf(const CallOutcome& outcome) {
   return std::visit(
       Overloaded{[](const Ran&) { return CallResult::kAnswered; },
@@ -82,7 +91,7 @@
         bound ? m_state.ChooseBound(envelope.service, *bound)
               : m_state.Choose(envelope.service, tried);
     if (!member) {
-      return report;
+      return bound ? Unvouched(std::move(report)) : report;
     }
     const uint32_t held = HeldBack(envelope, report.retries_left);
     envelope.timeout = deadline - m_clock.Now();
@@ -120,6 +129,27 @@
   return Fail(ErrorId::kNoBackend, service);
 }
 
+bool Forwarder::IsFresh(const std::string& id) {
+  const Outcome<RequestIdParts> parsed =
+      Capture([&] { return ParseRequestId(id); });
+  const auto* parts = std::get_if<RequestIdParts>(&parsed);
+  if (parts == nullptr) {
+    // No node ever issued it, so nothing can have run under it.
+    return true;
+  }
+  if (parts->node == m_node) {
+    return m_gate.IsFresh(id);
+  }
+  const std::optional<Member> member =
+      m_state.ChooseBound(parts->service, parts->node);
+  if (!member) {
+    return false;
+  }
+  const bool fresh = Ask(*member, kFreshPath, id) == kYes;
+  m_state.FinishCall(parts->service, parts->node, CallResult::kAnswered, {});
+  return fresh;
+}
+
 CallReport Forwarder::Attempt(const HopEnvelope& envelope,
                               const HttpRequest& request,
                               const Member& member) {
@@ -157,7 +187,7 @@
     CallReport report;
     report.outcome = NotRun{std::move(unsent->error), {}};
     report.retries_left = envelope.retries;
-    return report;
+    return envelope.at_most_once ? Unvouched(std::move(report)) : report;
   }
   return SettleLost(envelope, member, std::get<AnswerLost>(result).error);
 }
--- a/src/programs/node_server.cc
+++ b/src/programs/node_server.cc
@@ -86,7 +86,9 @@
     ControlPoller::Options options;
     options.node = m_node;
     options.peer_address =
-        m_common.listen_address + ":" + std::to_string(m_peers.port());
+        m_settings.advertised_address.empty()
+            ? m_common.listen_address + ":" + std::to_string(m_peers.port())
+            : m_settings.advertised_address;
     options.data_centre = m_settings.data_centre;
     options.interval = m_settings.poll_interval;
     m_poller.emplace(options, m_state, m_gate, m_client, m_clock, m_metrics);
@@ -143,6 +145,9 @@
     if (request.path == Forwarder::kFencePath) {
       return YesOrNo(m_gate.Fence(request.query));
     }
+    if (request.path == Forwarder::kFreshPath) {
+      return YesOrNo(m_gate.IsFresh(request.query));
+    }
     if (request.path == Forwarder::kOfferPath) {
       const size_t mark = request.query.find('~');
       const auto id = m_gate.IssueId(request.query.substr(0, mark),
--- /dev/null
+++ b/tests/process-traffic.cpp
@@ -0,0 +1,308 @@
+#define BOOST_TEST_MODULE traffic
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "support/fleet.h"
+
+namespace rosemarywinch {
+namespace {
+
+using test::Fleet;
+using test::WaitUntil;
+using Milliseconds = std::chrono::milliseconds;
+
+std::string HeaderOf(const HttpResponse& response, const std::string& name) {
+  const std::string* value = response.headers.Find(name);
+  return value == nullptr ? "" : *value;
+}
+
+// One service `shop` on the given number of nodes, one control replica.
+struct Shop {
+  explicit Shop(size_t count = 2, std::vector<std::string> backend = {})
+      : fleet(1) {
+    for (size_t i = 0; i < count; ++i) {
+      fleet.StartNode();
+      fleet.StartBackend(i, "shop", backend);
+    }
+    BOOST_REQUIRE(fleet.OperatorUntilDone(
+        {"tree", "set", "/shop/list", "path_prefix", "/list", "/shop/book",
+         "path_prefix", "/book", "/shop/book", "request_class", "booking", "/",
+         "rate", "10000", "/", "burst", "10000"}));
+    BOOST_REQUIRE(fleet.WaitForNodes());
+    BOOST_REQUIRE(WaitUntil([&] { return fleet.ReadyMembers() == count; }));
+    key = fleet.GiveKey("acme");
+  }
+
+  int Requests(size_t backend) {
+    return fleet.Stats(backend).value("requests", 0);
+  }
+
+  Fleet fleet;
+  std::string key;
+};
+
+// Each of 11 hops fails and each backend server tries again three times; the
+// allowance of the whole request bounds what reaches the deepest one.
+BOOST_AUTO_TEST_CASE(retries_are_bounded_over_eleven_hops) {
+  constexpr size_t kHops = 11;
+  Fleet fleet(1);
+  std::vector<std::string> words{"tree",  "set", "/",       "timeout",
+                                 "20000", "/",   "retries", "3"};
+  for (size_t i = 0; i < kHops; ++i) {
+    fleet.StartNode();
+    std::vector<std::string> arguments{"--repeat-calls", "3", "--service-ms",
+                                       "1"};
+    if (i + 1 < kHops) {
+      arguments.push_back("--call");
+      arguments.push_back("GET:/s" + std::to_string(i + 1) + "/x");
+    } else {
+      arguments.push_back("--fail");
+    }
+    fleet.StartBackend(i, "s" + std::to_string(i), arguments);
+    words.insert(words.end(),
+                 {"/s" + std::to_string(i) + "/x", "access", "open"});
+  }
+  BOOST_REQUIRE(fleet.OperatorUntilDone(words));
+  BOOST_REQUIRE(fleet.WaitForNodes());
+  BOOST_REQUIRE(WaitUntil([&] { return fleet.ReadyMembers() == kHops; }));
+  const HttpResponse answer = fleet.Get(0, "/s0/x", "");
+  BOOST_TEST(answer.status != 200);
+  const int deepest = fleet.Stats(kHops - 1).value("requests", 0);
+  BOOST_TEST(deepest >= 1);
+  BOOST_TEST(deepest <= 1 + 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_killed_backend_server_leaves_the_outcome_unknown) {
+  Shop shop(2, {"--service-ms", "800"});
+  std::string id;
+  HttpResponse answer;
+  std::thread caller(
+      [&] { answer = shop.fleet.Post(0, "/shop/book", shop.key, id); });
+  BOOST_REQUIRE(
+      WaitUntil([&] { return shop.Requests(0) + shop.Requests(1) == 1; }));
+  const size_t ran = shop.Requests(0) == 1 ? 0 : 1;
+  shop.fleet.backends[ran]->Signal(SIGKILL);
+  caller.join();
+  BOOST_TEST(HeaderOf(answer, "X-Request-Outcome") == "unknown");
+  // A repeat through either node learns the same and runs nothing.
+  for (size_t node : {0u, 1u}) {
+    const HttpResponse again =
+        shop.fleet.Post(node, "/shop/book", shop.key, id);
+    BOOST_TEST(HeaderOf(again, "X-Request-Outcome") == "unknown");
+  }
+  BOOST_TEST(shop.Requests(1 - ran) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_killed_node_takes_its_records_and_nothing_runs_twice) {
+  Shop shop(2);
+  std::string id;
+  BOOST_TEST(shop.fleet.Post(0, "/shop/book", shop.key, id).status == 200);
+  const size_t ran = shop.Requests(0) == 1 ? 0 : 1;
+  shop.fleet.nodes[ran]->Signal(SIGKILL);
+  const size_t other = 1 - ran;
+  const HttpResponse again = shop.fleet.Post(other, "/shop/book", shop.key, id);
+  BOOST_TEST(again.status != 200);
+  BOOST_TEST(HeaderOf(again, "X-Request-Outcome") != "ran");
+  BOOST_TEST(shop.Requests(other) == 0);
+  // "Not run" would be a lie here: the request did run.
+  BOOST_TEST(HeaderOf(again, "X-Request-Outcome") == "unknown");
+}
+
+// A repeat that is refused at its entry says nothing of the first attempt.
+BOOST_AUTO_TEST_CASE(a_refused_repeat_is_not_told_that_nothing_ran) {
+  Shop shop(2);
+  std::string id;
+  BOOST_TEST(shop.fleet.Post(0, "/shop/book", shop.key, id).status == 200);
+  const std::string no_key = std::string(85, 'x');
+  for (size_t node : {0u, 1u}) {
+    const HttpResponse refused =
+        shop.fleet.Post(node, "/shop/book", no_key, id);
+    BOOST_TEST(refused.status == 401);
+    BOOST_TEST(HeaderOf(refused, "X-Request-Outcome") == "unknown");
+  }
+  // With the backend server gone, the record still answers.
+  shop.fleet.backends[0]->Signal(SIGKILL);
+  shop.fleet.backends[1]->Signal(SIGKILL);
+  BOOST_REQUIRE(WaitUntil([&] { return shop.fleet.ReadyMembers() == 0; }));
+  const HttpResponse again = shop.fleet.Post(1, "/shop/book", shop.key, id);
+  BOOST_TEST(HeaderOf(again, "X-Request-Outcome") == "ran");
+}
+
+BOOST_AUTO_TEST_CASE(two_nodes_and_many_repeats_at_once_run_one_booking) {
+  Shop shop(3, {"--service-ms", "50"});
+  std::string id;
+  HttpRequest offer;
+  offer.method = "POST";
+  offer.path = "/shop/book";
+  offer.headers.Add("Authorization", "Bearer " + shop.key);
+  id = HeaderOf(
+      Fleet::ResponseOf(shop.fleet.Send(shop.fleet.AddressOf(0), offer)),
+      "Idempotency-Key");
+  BOOST_REQUIRE(!id.empty());
+  std::vector<std::thread> callers;
+  std::atomic<int> whole = 0;
+  for (size_t i = 0; i < 12; ++i) {
+    callers.emplace_back([&, i] {
+      std::string same = id;
+      const HttpResponse answer =
+          shop.fleet.Post(i % 3, "/shop/book", shop.key, same);
+      whole += answer.status == 200 ? 1 : 0;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(whole >= 1);
+  int runs = 0;
+  for (size_t i = 0; i < 3; ++i) {
+    runs += shop.Requests(i);
+  }
+  BOOST_TEST(runs == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_no_request) {
+  Shop shop(2, {"--service-ms", "400"});
+  std::atomic<bool> stop = false;
+  std::atomic<int> cut = 0;
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      while (!stop) {
+        const HttpResponse answer = shop.fleet.Get(1, "/shop/list", shop.key);
+        cut += answer.status != 200 ? 1 : 0;
+        answered += answer.status == 200 ? 1 : 0;
+      }
+    });
+  }
+  BOOST_REQUIRE(WaitUntil([&] { return answered > 16; }));
+  // The node goes with its backend server still at work.
+  shop.fleet.nodes[0]->Signal(SIGTERM);
+  BOOST_TEST(shop.fleet.nodes[0]->Wait() == 0);
+  const int before = shop.Requests(0);
+  BOOST_REQUIRE(WaitUntil([&] { return answered > 60; }));
+  stop = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(cut == 0);
+  BOOST_TEST(shop.Requests(0) == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_backend_server_gets_no_new_work) {
+  Shop shop(2, {"--service-ms", "20"});
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(shop.fleet.Get(1, "/shop/list", shop.key).status == 200);
+  }
+  shop.fleet.backends[1]->Signal(SIGTERM);
+  BOOST_TEST(shop.fleet.backends[1]->Wait() == 0);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(shop.fleet.Get(1, "/shop/list", shop.key).status == 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_frozen_backend_server_is_left_out) {
+  Shop shop(3, {"--service-ms", "5"});
+  shop.fleet.backends[2]->Signal(SIGSTOP);
+  // Announcements stop; within a few seconds nobody is sent there.
+  BOOST_TEST(WaitUntil([&] { return shop.fleet.ReadyMembers() == 2; }));
+  test::Pause(Milliseconds(2500));
+  for (int i = 0; i < 30; ++i) {
+    BOOST_TEST(shop.fleet.Get(0, "/shop/list", shop.key).status == 200);
+  }
+  shop.fleet.backends[2]->Signal(SIGCONT);
+  BOOST_TEST(WaitUntil([&] { return shop.fleet.ReadyMembers() == 3; }));
+}
+
+// Connections between two nodes go silent while new ones work. The node that
+// forwards finds out by asking on a new connection.
+BOOST_AUTO_TEST_CASE(silent_connections_are_found_while_new_ones_work) {
+  Fleet fleet(1);
+  fleet.StartNode();
+  const uint16_t peer_port = test::FreePort();
+  test::Relay relay(peer_port);
+  fleet.StartNode({"--peer-port", std::to_string(peer_port),
+                   "--advertised-address", relay.Address()});
+  fleet.StartBackend(1, "shop");
+  BOOST_REQUIRE(fleet.OperatorUntilDone(
+      {"tree", "set", "/shop/list", "path_prefix", "/list", "/", "timeout",
+       "20000", "/shop/book", "path_prefix", "/book", "/shop/book",
+       "request_class", "booking"}));
+  BOOST_REQUIRE(fleet.WaitForNodes());
+  BOOST_REQUIRE(WaitUntil([&] { return fleet.ReadyMembers() == 1; }));
+  const std::string key = fleet.GiveKey("acme");
+  BOOST_TEST(fleet.Get(0, "/shop/list", key).status == 200);
+  relay.SilenceOpen();
+  const auto start = std::chrono::steady_clock::now();
+  // The only member failed, so this one request may fail; it must not hang.
+  fleet.Get(0, "/shop/list", key);
+  const auto took = std::chrono::steady_clock::now() - start;
+  BOOST_TEST((took < Milliseconds(5000)));
+  BOOST_TEST(fleet.Get(0, "/shop/list", key).status == 200);
+  // A booking that met a silent connection is known not to have run.
+  std::string id;
+  BOOST_TEST(fleet.Post(0, "/shop/book", key, id).status == 200);
+  const int runs = fleet.Stats(0).value("requests", 0);
+  std::string second;
+  HttpRequest offer;
+  offer.method = "POST";
+  offer.path = "/shop/book";
+  offer.body = "work";
+  offer.headers.Add("Authorization", "Bearer " + key);
+  second = HeaderOf(Fleet::ResponseOf(fleet.Send(fleet.AddressOf(0), offer)),
+                    "Idempotency-Key");
+  relay.SilenceOpen();
+  const HttpResponse lost = fleet.Post(0, "/shop/book", key, second);
+  BOOST_TEST(HeaderOf(lost, "X-Request-Outcome") == "not-run");
+  BOOST_TEST(fleet.Stats(0).value("requests", 0) == runs);
+}
+
+// Four times the capacity in lookups; bookings within it are all answered.
+BOOST_AUTO_TEST_CASE(bookings_are_shed_after_lookups) {
+  Shop shop(2, {"--slots", "4", "--service-ms", "20"});
+  const auto load = [&](const std::string& path, const std::string& method,
+                        int rate, const std::string& threads) {
+    return std::vector<std::string>{"--node",       shop.fleet.AddressOf(0),
+                                    "--node",       shop.fleet.AddressOf(1),
+                                    "--key",        shop.key,
+                                    "--path",       path,
+                                    "--method",     method,
+                                    "--rate",       std::to_string(rate),
+                                    "--seconds",    "4",
+                                    "--threads",    threads,
+                                    "--timeout-ms", "1000"};
+  };
+  test::Process lookups("load_maker", load("/shop/list", "GET", 1600, "200"),
+                        shop.fleet.folder.At("lookups"));
+  test::Process bookings("load_maker", load("/shop/book", "POST", 100, "50"),
+                         shop.fleet.folder.At("bookings"));
+  BOOST_TEST(lookups.Wait() == 0);
+  BOOST_TEST(bookings.Wait() == 0);
+  const Json shed = Json::parse(lookups.Output());
+  const Json kept = Json::parse(bookings.Output());
+  BOOST_TEST_MESSAGE(shed.dump() << "\n" << kept.dump());
+  BOOST_TEST(shed["outcomes"].value("not-run", 0) > 0);
+  BOOST_TEST(kept["outcomes"].value("not-run", 0) == 0);
+  for (size_t i : {0u, 1u}) {
+    BOOST_TEST(shop.fleet.Stats(i).value("most_runs_of_an_id", 0) <= 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_second_signal_stops_at_once_and_says_what_is_open) {
+  Shop shop(1, {"--service-ms", "5000"});
+  std::thread caller([&] { shop.fleet.Get(0, "/shop/list", shop.key); });
+  BOOST_REQUIRE(WaitUntil([&] { return shop.Requests(0) == 1; }));
+  shop.fleet.nodes[0]->Signal(SIGTERM);
+  test::Pause(Milliseconds(500));
+  shop.fleet.nodes[0]->Signal(SIGTERM);
+  BOOST_TEST(shop.fleet.nodes[0]->Wait() == 75);
+  BOOST_TEST(shop.fleet.nodes[0]->Log().find("\"open\":\"1\"") !=
+             std::string::npos);
+  caller.join();
+}
+
+}  // namespace
+}  // namespace rosemarywinch
