--- /dev/null
+++ b/bench/bench_decisions.cc
@@ -0,0 +1,126 @@
+// Timings of decisions and codecs, for docs/CAPACITY.md.
+
+#include <benchmark/benchmark.h>
+
+#include "rosemarywinch/adapters/json_codec.h"
+#include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/decisions/traffic/admission_queue.h"
+#include "rosemarywinch/decisions/traffic/client_key.h"
+#include "rosemarywinch/decisions/traffic/route_table.h"
+#include "rosemarywinch/decisions/traffic/router.h"
+#include "subjects.h"
+
+namespace rosemarywinch::bench {
+namespace {
+
+void BM_ChangeOfTree(benchmark::State& run) {
+  FleetState state = MakeTree(static_cast<int>(run.range(0)));
+  uint64_t number = 0;
+  for (auto _ : run) {
+    ApplyCommand(state, MakeChange(state, ++number));
+  }
+}
+BENCHMARK(BM_ChangeOfTree)->Arg(100)->Arg(1000)->Arg(10000);
+
+void BM_NodeConfig(benchmark::State& run) {
+  const FleetState state = MakeTree(static_cast<int>(run.range(0)));
+  for (auto _ : run) {
+    benchmark::DoNotOptimize(RouteTable(state));
+  }
+}
+BENCHMARK(BM_NodeConfig)->Arg(100)->Arg(1000);
+
+void BM_PollOfMembers(benchmark::State& run) {
+  MembershipDirectory directory = MakeDirectory(static_cast<int>(run.range(0)));
+  const uint64_t seen = directory.UpdateSince(kSettled, {"s0", 0}).revision;
+  for (auto _ : run) {
+    benchmark::DoNotOptimize(directory.UpdateSince(kSettled, {"s0", seen}));
+  }
+}
+BENCHMARK(BM_PollOfMembers)->Arg(140)->Arg(1400);
+
+void BM_ReportOfAllowance(benchmark::State& run) {
+  AllowanceLender lender(TimePoint{0}, kLease);
+  const auto nodes = static_cast<int>(run.range(0));
+  int next = 0;
+  TimePoint now = kSettled;
+  for (auto _ : run) {
+    next = (next + 1) % nodes;
+    now.ms += next == 0 ? 1000 : 0;
+    lender.OnReport(now, {1000, 1000}, std::to_string(next),
+                    {"a", 1, 0, 0, 0, 0});
+  }
+}
+BENCHMARK(BM_ReportOfAllowance)->Arg(10)->Arg(140)->Arg(1400);
+
+void BM_EncodePoll(benchmark::State& run) {
+  PollRequest poll;
+  poll.protocol_version = 1;
+  poll.cluster = "0123456789abcdef";
+  poll.node = "0123456789abcdef";
+  poll.config_version = 12345;
+  poll.member = {poll.node,   "10.0.0.1:8000",      "dc1",
+                 "catalogue", BackendState::kReady, 100};
+  poll.services.assign(8, {"catalogue", 4294967300});
+  poll.allowances.assign(8, {"account-1", 12.5, 20.25, 30.5, 100.25, 17});
+  for (auto _ : run) {
+    const std::string text = ToJson(poll).dump();
+    benchmark::DoNotOptimize(FromJson<PollRequest>(Json::parse(text)));
+    run.counters["bytes"] = static_cast<double>(text.size());
+  }
+}
+BENCHMARK(BM_EncodePoll);
+
+void BM_RouteAndKey(benchmark::State& run) {
+  const FleetState state = MakeTree(1000);
+  const RouteTable routes(state);
+  const SodiumHasher hasher;
+  HttpRequest request;
+  request.path = "/s1/r1/x";
+  request.headers.Add("Authorization", "Bearer rwk_" + std::string(16, 'a') +
+                                           "_" + std::string(64, 'b'));
+  request.body = std::string(1000, 'x');
+  for (auto _ : run) {
+    const auto match = routes.Find(request.path);
+    const auto key = KeyOfRequest(request);
+    benchmark::DoNotOptimize(
+        Capture([&] { return AccountOfKey(state, **key, hasher); }));
+    benchmark::DoNotOptimize(EffectiveAt(state, {"s1", "r1", "a1"}));
+  }
+}
+BENCHMARK(BM_RouteAndKey);
+
+void BM_FullAdmissionQueue(benchmark::State& run) {
+  const auto length = static_cast<uint32_t>(run.range(0));
+  AdmissionQueue queue(MakeLimit(LimitPolicy::kStatic, 1), length);
+  uint64_t id = 0;
+  for (auto _ : run) {
+    const auto account = std::to_string(id % 8);
+    queue.Offer(kSettled, {++id, RequestClass::kLookup, account, 1, false,
+                           TimePoint{900'000}});
+  }
+}
+BENCHMARK(BM_FullAdmissionQueue)->Arg(200)->Arg(2000);
+
+void BM_ChooseMember(benchmark::State& run) {
+  Router router("dc1");
+  SystemRandom random;
+  ServiceUpdate update;
+  update.complete = true;
+  for (int i = 0; i < run.range(0); ++i) {
+    update.members.push_back({std::to_string(i), "10.0.0.1:1",
+                              "dc" + std::to_string(i % 5), "s",
+                              BackendState::kReady, 100});
+  }
+  router.Apply(kSettled, update);
+  for (auto _ : run) {
+    const auto member = router.Choose(kSettled, {}, random);
+    router.Finish(kSettled, member->node, CallResult::kAnswered, {5});
+  }
+}
+BENCHMARK(BM_ChooseMember)->Arg(13)->Arg(130);
+
+}  // namespace
+}  // namespace rosemarywinch::bench
+
+BENCHMARK_MAIN();
--- a/include/rosemarywinch/adapters/http_server.h
+++ b/include/rosemarywinch/adapters/http_server.h
@@ -19,7 +19,7 @@
   uint32_t port = 0;
   uint32_t max_connections = 900;
   /// A larger body is cut off one byte past the limit.
-  size_t max_body_bytes = 64 * 1024 * 1024;
+  size_t max_body_bytes = 64UL * 1024 * 1024;
 };
 
 /// HTTP server on ulfius, with a thread for each connection.
--- a/include/rosemarywinch/decisions/traffic/request_ledger.h
+++ b/include/rosemarywinch/decisions/traffic/request_ledger.h
@@ -71,7 +71,7 @@
   bool IsFresh(TimePoint now, const std::string& id);
 
   /// Answers larger than this are not kept; a repeat learns that it ran.
-  static constexpr size_t kMaxAnswerBytes = 64 * 1024;
+  static constexpr size_t kMaxAnswerBytes = 64UL * 1024;
 
  private:
   struct Running {};
--- a/include/rosemarywinch/programs/consensus_driver.h
+++ b/include/rosemarywinch/programs/consensus_driver.h
@@ -82,7 +82,7 @@
   };
 
   void TickLoop();
-  void CarryOut(consensus::Effects effects);
+  void CarryOut(const consensus::Effects& effects);
   void CarryOut(const consensus::SaveHardState& effect);
   void CarryOut(const consensus::AppendEntries& effect);
   void CarryOut(const consensus::TruncateEntries& effect);
--- /dev/null
+++ b/model/in_force.pml
@@ -0,0 +1,106 @@
+/* When a version is in force everywhere.
+ *
+ * Nodes act on a version only under a lease that they date from the moment of
+ * asking. The leader calls a version in force once each node that may hold a
+ * lease has confirmed it, or once all leases given before it was applied have
+ * ended. A new leader does not know which leases are out.
+ *
+ * Guards that a mutant takes out:
+ *   NO_WAIT_AFTER_CHANGE  a new leader trusts its empty list at once
+ *   LEASE_FROM_ANSWER     a node dates its lease from the answer
+ *   NO_CONFIRMATION       leases of nodes that lag are not waited for
+ */
+#define NODES 2
+#define LEASE 2
+#define END 4
+#define VERSIONS 2
+
+byte now;
+byte committed = 1;
+byte in_force;
+byte since;
+byte applied;
+byte changes;
+
+/* What the leader knows of each node. */
+byte confirmed[NODES];
+byte lessor_end[NODES];
+
+/* What each node holds. */
+byte version[NODES];
+byte lease_end[NODES];
+
+/* A poll and its answer on their way: 0 none, 1 asked, 2 answered. */
+byte flight[NODES];
+byte asked_at[NODES];
+byte asked_version[NODES];
+byte answer[NODES];
+
+#define acts_on_old(i) (now < lease_end[i] && version[i] < in_force)
+#define settled(i) (lessor_end[i] <= now || confirmed[i] >= committed)
+
+inline declare() {
+  if
+#ifdef NO_CONFIRMATION
+  :: in_force = committed
+#else
+#ifdef NO_WAIT_AFTER_CHANGE
+  :: settled(0) && settled(1) -> in_force = committed
+#else
+  :: settled(0) && settled(1) && now >= since + LEASE -> in_force = committed
+#endif
+  :: now >= applied + LEASE -> in_force = committed
+#endif
+  :: else
+  fi;
+  assert(!acts_on_old(0) && !acts_on_old(1))
+}
+
+#define forget(i) flight[i] = 0; asked_at[i] = 0; asked_version[i] = 0; \
+  answer[i] = 0
+
+#ifdef LEASE_FROM_ANSWER
+#define LEASE_START(i) now
+#else
+#define LEASE_START(i) asked_at[i]
+#endif
+
+#define actions(i) \
+  :: flight[i] == 0 -> \
+     d_step { \
+       flight[i] = 1; asked_at[i] = now; asked_version[i] = version[i] \
+     } \
+  :: flight[i] == 1 -> \
+     d_step { \
+       flight[i] = 2; \
+       answer[i] = committed; \
+       confirmed[i] = asked_version[i]; \
+       lessor_end[i] = now + LEASE \
+     } \
+  :: flight[i] == 2 -> \
+     d_step { \
+       version[i] = (answer[i] > version[i] -> answer[i] : version[i]); \
+       lease_end[i] = LEASE_START(i) + LEASE; \
+       forget(i) \
+     } \
+  :: flight[i] > 0 -> d_step { forget(i) }
+
+active proctype world() {
+  do
+  :: now < END -> now++
+  :: committed < VERSIONS -> d_step { committed++; applied = now }
+  actions(0)
+  actions(1)
+  :: changes < 1 ->
+     d_step {
+       changes++;
+       since = now;
+       applied = now;
+       confirmed[0] = 0;
+       confirmed[1] = 0;
+       lessor_end[0] = 0;
+       lessor_end[1] = 0
+     }
+  :: in_force < committed -> atomic { declare() }
+  od
+}
--- /dev/null
+++ b/model/lending.pml
@@ -0,0 +1,158 @@
+/* Lending one account's allowance of LIMIT units to nodes.
+ *
+ * A share ends with its lease. A smaller share counts in full until the node
+ * has confirmed it or its lease has ended. A new lender renews what nodes
+ * claim and lends nothing new until all leases of its predecessor have ended.
+ *
+ * Guards that a mutant takes out:
+ *   NO_CONFIRMATION   a cut share is lent on before the node has confirmed
+ *   NO_SETTLING       a new lender lends at once
+ *   NO_EXPIRY         a node uses its share after the lease
+ *   REVIVED_SHARE     a lapsed share comes back with the next lease
+ */
+#define NODES 2
+#define LEASE 2
+#define END 4
+#define LIMIT 2
+
+byte now;
+byte since;
+byte changes;
+
+/* The lender's books: the last grant and the most the node may hold. */
+byte granted[NODES];
+byte bound[NODES];
+byte number[NODES];
+byte lessor_end[NODES];
+bool known[NODES];
+
+/* The nodes. */
+byte share[NODES];
+byte applied[NODES];
+byte lease_end[NODES];
+
+/* 0 none, 1 report on its way, 2 grant on its way. */
+byte flight[NODES];
+byte asked_at[NODES];
+byte report_share[NODES];
+byte report_number[NODES];
+byte grant_share[NODES];
+byte grant_number[NODES];
+
+#ifdef NO_EXPIRY
+#define holds(i) share[i]
+#else
+#define holds(i) (now < lease_end[i] -> share[i] : 0)
+#endif
+
+#define free_units (LIMIT - bound[0] - bound[1])
+
+inline expire(i) {
+  if
+  :: known[i] && lessor_end[i] <= now ->
+     known[i] = false; bound[i] = 0; granted[i] = 0
+  :: else
+  fi
+}
+
+/* Answers a report with a share of `want` units, as far as the books allow. */
+inline lend(i, want) {
+  d_step {
+    expire(0);
+    expire(1);
+    if
+    :: !known[i] ->
+       known[i] = true;
+       number[i] = report_number[i];
+       granted[i] = (now < since + LEASE -> report_share[i] : 0);
+       bound[i] = granted[i]
+    :: else
+    fi;
+    lessor_end[i] = now + LEASE;
+    if
+    :: report_number[i] >= number[i] ->
+       bound[i] = granted[i];
+       if
+#ifdef NO_SETTLING
+       :: true ->
+#else
+       :: now >= since + LEASE ->
+#endif
+          granted[i] = (want < bound[i] + free_units -> want
+                                                     : bound[i] + free_units);
+          number[i]++;
+#ifdef NO_CONFIRMATION
+          bound[i] = granted[i]
+#else
+          bound[i] = (granted[i] > bound[i] -> granted[i] : bound[i])
+#endif
+#ifndef NO_SETTLING
+       :: else
+#endif
+       fi
+    :: else
+    fi;
+    grant_share[i] = granted[i];
+    grant_number[i] = number[i];
+    flight[i] = 2
+  }
+}
+
+#define forget(i) flight[i] = 0; asked_at[i] = 0; report_share[i] = 0; \
+  report_number[i] = 0; grant_share[i] = 0; grant_number[i] = 0
+
+#ifdef REVIVED_SHARE
+#define lapse(i) skip
+#else
+#define lapse(i) share[i] = holds(i)
+#endif
+
+#define actions(i) \
+  :: flight[i] == 0 && number[i] < 4 -> \
+     d_step { \
+       lapse(i); \
+       flight[i] = 1; \
+       asked_at[i] = now; \
+       report_share[i] = holds(i); \
+       report_number[i] = applied[i] \
+     } \
+  :: flight[i] == 1 -> lend(i, 0) \
+  :: flight[i] == 1 -> lend(i, 1) \
+  :: flight[i] == 1 -> lend(i, 2) \
+  :: flight[i] == 2 -> \
+     d_step { \
+       lapse(i); \
+       if \
+       :: grant_number[i] > applied[i] && now < asked_at[i] + LEASE -> \
+          share[i] = grant_share[i]; \
+          applied[i] = grant_number[i] \
+       :: else \
+       fi; \
+       lease_end[i] = (asked_at[i] + LEASE > lease_end[i] -> \
+                       asked_at[i] + LEASE : lease_end[i]); \
+       forget(i); \
+       assert(holds(0) + holds(1) <= LIMIT) \
+     } \
+  :: flight[i] > 0 -> d_step { forget(i) }
+
+active proctype world() {
+end:
+  do
+  :: now < END -> d_step { now++; lapse(0); lapse(1) }
+  actions(0)
+  actions(1)
+  :: changes < 1 && now > 0 ->
+     d_step {
+       changes++;
+       since = now;
+       known[0] = false;
+       known[1] = false;
+       bound[0] = 0;
+       bound[1] = 0;
+       granted[0] = 0;
+       granted[1] = 0;
+       number[0] = 0;
+       number[1] = 0
+     }
+  od
+}
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -18,8 +18,8 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
-constexpr size_t kThreadStackBytes = 256 * 1024;
-constexpr size_t kMaxHeaderBytes = 32 * 1024;
+constexpr size_t kThreadStackBytes = 256UL * 1024;
+constexpr size_t kMaxHeaderBytes = 32UL * 1024;
 // Longer than any request may take, so that only idle connections end.
 constexpr unsigned kIdleTimeoutSeconds = 660;
 
--- a/src/decisions/fleet/fleet_store.cc
+++ b/src/decisions/fleet/fleet_store.cc
@@ -56,7 +56,7 @@
 }
 
 Result<Done> CheckRoutePrefixes(const FleetState& state) {
-  std::set<std::string> seen;
+  std::set<std::pair<std::string, std::string>> seen;
   for (const auto& [text, settings] : state.tree) {
     BOOST_LEAF_AUTO(path, TreePath::Parse(text));
     if (path.Level() != TreeLevel::kRoute) {
@@ -66,8 +66,8 @@
     if (!prefix.starts_with('/')) {
       return Fail(ErrorId::kBadValue, text + " path_prefix must begin with /");
     }
-    if (!seen.insert(path.service + " " + prefix).second) {
-      return Fail(ErrorId::kRouteConflict, text + " " + prefix);
+    if (!seen.insert({path.service, prefix}).second) {
+      return Fail(ErrorId::kRouteConflict, text + ", " + prefix);
     }
   }
   return Done{};
@@ -102,7 +102,9 @@
     return Fail(ErrorId::kTooManyKeys, change.account);
   }
   const bool added =
-      state.keys.try_emplace(change.key_id, change.account, change.secret_hash)
+      state.keys
+          .try_emplace(change.key_id,
+                       KeyRecord{change.account, change.secret_hash})
           .second;
   if (!added) {
     return Fail(ErrorId::kOperationReused, "key " + change.key_id);
--- a/src/decisions/fleet/policy.cc
+++ b/src/decisions/fleet/policy.cc
@@ -19,6 +19,7 @@
 
 std::vector<std::string> PolicyFieldNames() {
   std::vector<std::string> names;
+  names.reserve(kPolicySettingsFields.size());
   for (const FieldInfo& field : kPolicySettingsFields) {
     names.emplace_back(field.name);
   }
--- a/src/decisions/fleet/tree_path.cc
+++ b/src/decisions/fleet/tree_path.cc
@@ -89,6 +89,7 @@
     nodes.push_back({service, route, ""});
   }
   std::vector<std::string> chain;
+  chain.reserve(nodes.size() * 2);
   for (const TreePath& node : nodes) {
     chain.push_back(node.Text());
   }
--- a/src/decisions/traffic/admission_queue.cc
+++ b/src/decisions/traffic/admission_queue.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(ConcurrencyLimit limit, uint32_t queue_length)
-    : m_limit(std::move(limit)), m_queue_length(queue_length) {}
+    : m_limit(limit), m_queue_length(queue_length) {}
 
 std::vector<Admission> AdmissionQueue::Offer(TimePoint now, Ticket ticket) {
   const uint64_t id = ticket.id;
@@ -57,7 +57,7 @@
 
 std::vector<Admission> AdmissionQueue::SetLimit(TimePoint now,
                                                 ConcurrencyLimit limit) {
-  m_limit = std::move(limit);
+  m_limit = limit;
   return StartWaiting(now);
 }
 
--- a/src/decisions/traffic/route_table.cc
+++ b/src/decisions/traffic/route_table.cc
@@ -18,9 +18,9 @@
 }  // namespace
 
 RouteTable::RouteTable(const FleetState& state) {
-  for (const auto& [text, settings] : state.tree) {
+  for (const auto& node : state.tree) {
     const Outcome<TreePath> parsed =
-        Capture([&] { return TreePath::Parse(text); });
+        Capture([&] { return TreePath::Parse(node.first); });
     const auto* path = std::get_if<TreePath>(&parsed);
     if (path == nullptr || path->Level() != TreeLevel::kRoute) {
       continue;
--- a/src/programs/consensus_driver.cc
+++ b/src/programs/consensus_driver.cc
@@ -100,7 +100,7 @@
   Waiter waiter;
   waiter.term = position->term;
   m_waiters[position->index] = &waiter;
-  CarryOut(std::move(effects));
+  CarryOut(effects);
   m_changed.wait_for(lock, std::chrono::milliseconds(limit.ms), [&] {
     return waiter.result || waiter.lost || m_stopping;
   });
@@ -147,7 +147,7 @@
   return status;
 }
 
-void ConsensusDriver::CarryOut(consensus::Effects effects) {
+void ConsensusDriver::CarryOut(const consensus::Effects& effects) {
   for (const consensus::Effect& effect : effects) {
     std::visit([this](const auto& kind) { CarryOut(kind); }, effect);
   }
