Keep the slots of a backend server that is slow, not queueing

The limit shrank on any rise of latency, though shrinking relieved nothing; and its baseline drifted up while a real queue stood. Ruled out: the queue and the deadlines (the same under the static limit). Change: two shrinks in a row without relief are taken back and the latency is the new baseline; the baseline moves only while there is no queue.

--- a/include/rosemarywinch/decisions/traffic/concurrency_limit.h
+++ b/include/rosemarywinch/decisions/traffic/concurrency_limit.h
@@ -26,7 +26,9 @@
 };
 
 /// A limit learnt from latency: it grows while calls take about as long as
-/// they do on an idle backend server, and shrinks when they take longer.
+/// they do on an idle backend server, and shrinks when they take longer. When
+/// shrinking brings no relief, there was no queue to shorten: the backend
+/// server itself has become slower, so the limit comes back.
 struct AdaptiveLimit {
   uint32_t slots = 1;
   double limit = 1;
@@ -37,6 +39,11 @@
   uint32_t window_failures = 0;
   uint32_t window_peak = 0;
   TimePoint window_start;
+  /// Windows in a row that shrank the limit, and how many brought no relief.
+  uint32_t shrinks = 0;
+  uint32_t useless_shrinks = 0;
+  double limit_before_shrinks = 0;
+  double last_shrink_mean_ms = 0;
 };
 
 using ConcurrencyLimit = std::variant<NoLimit, StaticLimit, AdaptiveLimit>;
--- a/src/decisions/traffic/concurrency_limit.cc
+++ b/src/decisions/traffic/concurrency_limit.cc
@@ -20,23 +20,58 @@
 constexpr double kMinLimit = 2;
 constexpr double kFailurePart = 0.2;
 constexpr double kMinBaselineMs = 0.5;
+// A shrink that leaves more than this part of the latency brought no relief.
+constexpr double kRelief = 0.95;
+constexpr uint32_t kUselessShrinks = 2;
+
+void ForgetShrinks(AdaptiveLimit& limit) {
+  limit.shrinks = 0;
+  limit.useless_shrinks = 0;
+}
+
+// Shrinks, or takes the shrinks of the last windows back and relearns the
+// baseline when they brought no relief.
+void ShrinkIfUseful(AdaptiveLimit& limit, double mean_ms) {
+  const bool useless =
+      limit.shrinks > 0 && mean_ms > limit.last_shrink_mean_ms * kRelief;
+  limit.useless_shrinks = useless ? limit.useless_shrinks + 1 : 0;
+  if (limit.useless_shrinks >= kUselessShrinks) {
+    limit.limit = limit.limit_before_shrinks;
+    limit.baseline_ms = mean_ms;
+    ForgetShrinks(limit);
+    return;
+  }
+  if (limit.shrinks == 0) {
+    limit.limit_before_shrinks = limit.limit;
+  }
+  ++limit.shrinks;
+  limit.last_shrink_mean_ms = mean_ms;
+  limit.limit = std::max(kMinLimit, limit.limit * kShrink);
+}
 
 void CloseWindow(AdaptiveLimit& limit, TimePoint now) {
   const double mean_ms = limit.window_sum_ms / limit.window_calls;
   const double floor_ms = std::max(mean_ms, kMinBaselineMs);
-  limit.baseline_ms =
-      limit.baseline_ms == 0
-          ? floor_ms
-          : std::min(limit.baseline_ms * (1 + kBaselineDrift), floor_ms);
-  limit.baseline_ms = std::max(limit.baseline_ms, kMinBaselineMs);
+  if (limit.baseline_ms == 0) {
+    limit.baseline_ms = floor_ms;
+  }
+  const bool queueing = mean_ms > limit.baseline_ms * kQueueingRatio;
+  if (!queueing) {
+    // A queue says nothing of an idle backend server, so it moves nothing.
+    limit.baseline_ms =
+        std::min(limit.baseline_ms * (1 + kBaselineDrift), floor_ms);
+  }
   const bool failing =
       limit.window_failures > limit.window_calls * kFailurePart;
-  const bool queueing = mean_ms > limit.baseline_ms * kQueueingRatio;
   const bool used = limit.window_peak * 2 >= limit.limit;
-  if (failing || queueing) {
+  if (failing) {
+    ForgetShrinks(limit);
     limit.limit = std::max(kMinLimit, limit.limit * kShrink);
-  } else if (used) {
-    limit.limit += std::sqrt(limit.limit);
+  } else if (queueing) {
+    ShrinkIfUseful(limit, mean_ms);
+  } else {
+    ForgetShrinks(limit);
+    limit.limit += used ? std::sqrt(limit.limit) : 0;
   }
   limit.limit = std::min(limit.limit, static_cast<double>(limit.slots));
   limit.window_sum_ms = 0;
