Poll at once for what is unknown; pass no connection headers on

Ruled out: members missing at control (4 ready were listed). Change: polls for what is unknown keep the smallest pause; only polls for a starved account come later each time. Cause 2, by reading: headers of the caller's connection (Transfer-Encoding, Content-Length, Connection, Expect) travelled on to the next node. Change: they are removed where a message is passed on, by one rule for both sides; process-path sends a body in chunks through one and two nodes.

--- a/include/rosemarywinch/interfaces/http.h
+++ b/include/rosemarywinch/interfaces/http.h
@@ -22,6 +22,9 @@
  public:
   void Add(std::string name, std::string value);
   void Remove(std::string_view name);
+  /// Removes the headers that speak of one connection only; whoever passes a
+  /// message on writes its own.
+  void RemoveConnectionHeaders();
   /// Returns the first value of `name`, or null.
   const std::string* Find(std::string_view name) const;
   const std::vector<HttpHeader>& all() const { return m_headers; }
@@ -33,6 +36,9 @@
 /// Tells whether two header names are the same; ASCII case is ignored.
 bool SameHeaderName(std::string_view a, std::string_view b);
 
+/// Tells whether a header speaks of one connection and not of the message.
+bool IsConnectionHeader(std::string_view name);
+
 struct HttpRequest {
   std::string method = "GET";
   /// Path with its leading slash, without the query.
--- a/include/rosemarywinch/programs/control_poller.h
+++ b/include/rosemarywinch/programs/control_poller.h
@@ -39,7 +39,7 @@
   void Stop();
 
   /// Asks for a poll before the interval is over.
-  void Poke();
+  void Poke(NodeState::PollReason reason);
 
   /// Polls as leaving from now on. Returns whether control has confirmed it
   /// within `limit`.
@@ -47,8 +47,7 @@
 
  private:
   void PollLoop();
-  /// Returns whether the next poll is made before the interval is over.
-  bool WaitForNextPoll(std::unique_lock<std::mutex>& lock, Duration pause);
+  void WaitForNextPoll(std::unique_lock<std::mutex>& lock, Duration pause);
   void PollOnce(bool leaving);
   PollRequest MakeRequest(bool leaving);
   void NoteReachable(bool reachable, const std::string& why);
@@ -63,6 +62,7 @@
   std::mutex m_mutex;
   std::condition_variable m_changed;
   bool m_urgent = false;
+  bool m_starved = false;
   bool m_stopping = false;
   bool m_leaving = false;
   bool m_left = false;
--- a/include/rosemarywinch/programs/node_state.h
+++ b/include/rosemarywinch/programs/node_state.h
@@ -71,8 +71,18 @@
                   CallResult result,
                   Duration took);
 
+  /// Why the next poll should not wait for its interval.
+  enum class PollReason {
+    /// Something is not known yet, such as the members of a service.
+    kUnknown,
+    /// An account is out of tokens; such polls come later each time.
+    kStarved,
+  };
+
   /// Sets what is called when the next poll should not wait.
-  void OnUrgent(std::function<void()> poke) { m_poke = std::move(poke); }
+  void OnUrgent(std::function<void(PollReason)> poke) {
+    m_poke = std::move(poke);
+  }
 
  private:
   struct AccountShare {
@@ -86,14 +96,15 @@
   void ApplyConfig(const PollResponse& response);
   /// Calls `settled` now and after each answer of control until it returns
   /// true, for a short while at most.
-  void RetryOnNews(const std::function<bool()>& settled);
+  void RetryOnNews(PollReason reason, const std::function<bool()>& settled);
+  void Poke(PollReason reason) const;
   uint64_t NewsCount();
   Router& RouterOf(Routers& routers, const std::string& service);
 
   const std::string m_data_centre;
   Clock& m_clock;
   Random& m_random;
-  std::function<void()> m_poke;
+  std::function<void(PollReason)> m_poke;
 
   std::mutex m_config_mutex;
   std::condition_variable m_news;
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -33,13 +33,6 @@
   return headers;
 }
 
-// The server writes these itself, and refuses to be given them.
-bool IsOwnHeader(const std::string& name) {
-  return SameHeaderName(name, "Connection") || SameHeaderName(name, "Date") ||
-         SameHeaderName(name, "Content-Length") ||
-         SameHeaderName(name, "Transfer-Encoding");
-}
-
 HttpRequest ReadRequest(const _u_request& raw) {
   HttpRequest request;
   request.method = raw.http_verb;
@@ -117,7 +110,8 @@
     auto* state = static_cast<State*>(self);
     const HttpResponse response = state->handler(ReadRequest(*raw));
     for (const HttpHeader& header : response.headers.all()) {
-      if (!IsOwnHeader(header.name)) {
+      // The server writes these itself, and refuses to be given them.
+      if (!IsConnectionHeader(header.name)) {
         u_map_put(out->map_header, header.name.c_str(), header.value.c_str());
       }
     }
--- a/src/core/http.cc
+++ b/src/core/http.cc
@@ -1,6 +1,7 @@
 #include "rosemarywinch/interfaces/http.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <utility>
 
@@ -13,6 +14,22 @@
                     });
 }
 
+bool IsConnectionHeader(std::string_view name) {
+  constexpr std::array<std::string_view, 9> kNames{
+      "Connection", "Content-Length", "Date",
+      "Expect",     "Host",           "Keep-Alive",
+      "TE",         "Upgrade",        "Transfer-Encoding"};
+  return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view other) {
+    return SameHeaderName(name, other);
+  });
+}
+
+void HttpHeaders::RemoveConnectionHeaders() {
+  std::erase_if(m_headers, [](const HttpHeader& header) {
+    return IsConnectionHeader(header.name);
+  });
+}
+
 void HttpHeaders::Add(std::string name, std::string value) {
   m_headers.push_back({std::move(name), std::move(value)});
 }
--- a/src/programs/backend_gate.cc
+++ b/src/programs/backend_gate.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/decisions/traffic/client_key.h"
 #include "rosemarywinch/decisions/traffic/headers.h"
 
 namespace rosemarywinch {
@@ -17,13 +18,12 @@
 
 // Removes what only nodes and callers may say to each other.
 void StripHeaders(HttpHeaders& headers) {
-  for (const auto& name :
-       {headers::kContext, headers::kTimeout, headers::kHop,
-        headers::kRequestId, std::string("Authorization"),
-        std::string("Connection"), std::string("Content-Length"),
-        std::string("Transfer-Encoding"), std::string("Host")}) {
+  headers.RemoveConnectionHeaders();
+  for (const std::string& name : {headers::kContext, headers::kTimeout,
+                                  headers::kHop, headers::kRequestId}) {
     headers.Remove(name);
   }
+  headers.Remove(kKeyHeader);
 }
 
 std::string Fingerprint(const HttpRequest& request) {
--- a/src/programs/control_poller.cc
+++ b/src/programs/control_poller.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Pause before an urgent poll; it doubles with each urgent poll in a row, so
-// that an account over its rate costs two polls an interval and no more.
+// Pause before an urgent poll. For starved accounts it doubles with each poll
+// in a row, so that an account over its rate costs few more polls than others.
 constexpr Duration kSmallestPause{100};
 constexpr std::chrono::milliseconds kReleaseCheck{100};
 constexpr Duration kPollTimeout{1500};
@@ -50,8 +50,12 @@
   }
 }
 
-void ControlPoller::Poke() {
+void ControlPoller::Poke(NodeState::PollReason reason) {
   std::scoped_lock lock(m_mutex);
+  if (reason == NodeState::PollReason::kStarved) {
+    m_starved = true;
+    return;
+  }
   m_urgent = true;
   m_changed.notify_all();
 }
@@ -71,34 +75,36 @@
   while (!m_stopping) {
     const bool leaving = m_leaving;
     m_urgent = false;
+    m_starved = false;
     lock.unlock();
     PollOnce(leaving);
     lock.lock();
     m_left = m_left || (leaving && m_reachable);
     m_changed.notify_all();
-    const bool urgent = WaitForNextPoll(lock, pause);
-    pause = urgent ? std::min(pause * 2, m_options.interval) : kSmallestPause;
+    WaitForNextPoll(lock, pause);
+    pause =
+        m_starved ? std::min(pause * 2, m_options.interval) : kSmallestPause;
   }
 }
 
-bool ControlPoller::WaitForNextPoll(std::unique_lock<std::mutex>& lock,
+void ControlPoller::WaitForNextPoll(std::unique_lock<std::mutex>& lock,
                                     Duration pause) {
+  using std::chrono::milliseconds;
   const auto polled = std::chrono::steady_clock::now();
-  const auto due = polled + std::chrono::milliseconds(m_options.interval.ms);
-  m_changed.wait_until(lock, polled + std::chrono::milliseconds(pause.ms),
+  const auto due = polled + milliseconds(m_options.interval.ms);
+  const auto backed_off = polled + milliseconds(pause.ms);
+  m_changed.wait_until(lock, polled + milliseconds(kSmallestPause.ms),
                        [this] { return m_stopping; });
   while (!m_stopping && !m_urgent) {
     const auto now = std::chrono::steady_clock::now();
-    if (now >= due) {
-      return false;
-    }
-    if (m_state.ShouldPollSoon()) {
-      return true;
+    const bool early =
+        now >= backed_off && (m_starved || m_state.ShouldPollSoon());
+    if (early || now >= due) {
+      return;
     }
     m_changed.wait_until(lock, std::min(now + kReleaseCheck, due),
                          [this] { return m_stopping || m_urgent; });
   }
-  return true;
 }
 
 void ControlPoller::PollOnce(bool leaving) {
--- a/src/programs/entry_handler.cc
+++ b/src/programs/entry_handler.cc
@@ -91,6 +91,7 @@
   } else {
     HttpRequest forwarded = request;
     forwarded.path = visit.match->backend_path;
+    forwarded.headers.RemoveConnectionHeaders();
     forwarded.headers.Remove(kKeyHeader);
     forwarded.headers.Remove(headers::kContext);
     report = m_parts.forwarder.Forward(visit.envelope, forwarded, visit.bound);
--- a/src/programs/node_server.cc
+++ b/src/programs/node_server.cc
@@ -92,7 +92,8 @@
     options.data_centre = m_settings.data_centre;
     options.interval = m_settings.poll_interval;
     m_poller.emplace(options, m_state, m_gate, m_client, m_clock, m_metrics);
-    m_state.OnUrgent([this] { m_poller->Poke(); });
+    m_state.OnUrgent(
+        [this](NodeState::PollReason reason) { m_poller->Poke(reason); });
     m_poller->Start();
     return Done{};
   }
@@ -200,7 +201,7 @@
       return ErrorResponse(*error);
     }
     if (m_gate.Announce(std::get<Announcement>(outcome))) {
-      m_poller->Poke();
+      m_poller->Poke(NodeState::PollReason::kUnknown);
     }
     return JsonResponse(200, Json::object());
   }
--- a/src/programs/node_state.cc
+++ b/src/programs/node_state.cc
@@ -127,9 +127,13 @@
     wait = taken ? std::nullopt : std::optional(bucket.RetryAfter(now));
     return taken;
   };
+  PollReason reason = PollReason::kUnknown;
   const bool settled = m_buckets.With(account, [&](Buckets& buckets) {
     AccountShare& share = buckets[account];
     share.bucket.CountOffer(m_clock.Now());
+    if (share.bucket.HasShare(m_clock.Now())) {
+      reason = PollReason::kStarved;
+    }
     if (try_take(buckets) || share.waiting >= kMaxWaitingPerAccount) {
       return true;
     }
@@ -138,11 +142,11 @@
   });
   if (!settled) {
     // Control may have more for this node than it has asked for so far.
-    RetryOnNews([&] { return m_buckets.With(account, try_take); });
+    RetryOnNews(reason, [&] { return m_buckets.With(account, try_take); });
     m_buckets.With(account,
                    [&](Buckets& buckets) { --buckets[account].waiting; });
-  } else if (wait && m_poke) {
-    m_poke();
+  } else if (wait) {
+    Poke(PollReason::kStarved);
   }
   return wait;
 }
@@ -150,7 +154,7 @@
 std::optional<Member> NodeState::Choose(const std::string& service,
                                         const std::set<std::string>& excluded) {
   std::optional<Member> member;
-  RetryOnNews([&] {
+  RetryOnNews(PollReason::kUnknown, [&] {
     return m_routers.With(service, [&](Routers& routers) {
       Router& router = RouterOf(routers, service);
       member = router.Choose(m_clock.Now(), excluded, m_random);
@@ -163,7 +167,7 @@
 std::optional<Member> NodeState::ChooseBound(const std::string& service,
                                              const std::string& node) {
   std::optional<Member> member;
-  RetryOnNews([&] {
+  RetryOnNews(PollReason::kUnknown, [&] {
     return m_routers.With(service, [&](Routers& routers) {
       Router& router = RouterOf(routers, service);
       member = router.ChooseBound(node);
@@ -182,14 +186,19 @@
   });
 }
 
-void NodeState::RetryOnNews(const std::function<bool()>& settled) {
+void NodeState::Poke(PollReason reason) const {
+  if (m_poke) {
+    m_poke(reason);
+  }
+}
+
+void NodeState::RetryOnNews(PollReason reason,
+                            const std::function<bool()>& settled) {
   const auto deadline = std::chrono::steady_clock::now() +
                         std::chrono::milliseconds(kFirstContactWait.ms);
   uint64_t seen = NewsCount();
   while (!settled()) {
-    if (m_poke) {
-      m_poke();
-    }
+    Poke(reason);
     std::unique_lock lock(m_config_mutex);
     const bool news =
         m_news.wait_until(lock, deadline, [&] { return m_news_count > seen; });
--- a/tests/process-path.cpp
+++ b/tests/process-path.cpp
@@ -103,6 +103,19 @@
   wordy.headers.Add("X-Long", std::string(64 * 1024, 'x'));
   BOOST_TEST(Fleet::ResponseOf(fleet.Send(fleet.AddressOf(0), wordy)).status ==
              431);
+  // A body sent in chunks arrives whole, through one node and through two.
+  for (size_t node : {0u, 1u, 2u}) {
+    HttpRequest chunked;
+    chunked.method = "POST";
+    chunked.path = "/shop/list";
+    chunked.headers.Add("Authorization", "Bearer " + key);
+    chunked.headers.Add("Transfer-Encoding", "chunked");
+    chunked.body = "sent in chunks";
+    const HttpResponse answer =
+        Fleet::ResponseOf(fleet.Send(fleet.AddressOf(node), chunked));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(HeaderOf(answer, "X-Echo") == "sent in chunks");
+  }
   // A booking runs once, whichever node the repeat goes to.
   std::string id;
   const HttpResponse booked = fleet.Post(0, "/shop/book", key, id);
