Write the visits of a generated visitor in one place

Cause: the duplicates list showed the loop over a message's members twice in the code generator, once for each visitor. Change: WriteVisits emits the calls for both.

--- a/tools/schemagen/main.cc
+++ b/tools/schemagen/main.cc
@@ -319,6 +319,19 @@
                 "$levels$, $names$},\n");
   }
 
+  // Emits one call for each struct member and closes the function.
+  void WriteVisits(const pb::Descriptor& type, const std::string& call) {
+    const std::string line = "  " + call + ";\n";
+    int index = 0;
+    ForEachMember(type, [&](const std::string& name, const std::string&,
+                            const std::string&, const pb::FieldDescriptor*,
+                            const pb::OneofDescriptor*) {
+      m_out.Print(line.c_str(), "t", type.name(), "i", std::to_string(index++),
+                  "n", name);
+    });
+    m_out.Print("}\n\n");
+  }
+
   void WriteVisitor(const pb::Descriptor& type) {
     m_out.Print(
         "template <typename Self, typename Visitor>\n"
@@ -326,14 +339,7 @@
         "void VisitFields([[maybe_unused]] Self& self,\n"
         "                 [[maybe_unused]] Visitor&& visit) {\n",
         "n", type.name());
-    int index = 0;
-    ForEachMember(type, [&](const std::string& name, const std::string&,
-                            const std::string&, const pb::FieldDescriptor*,
-                            const pb::OneofDescriptor*) {
-      m_out.Print("  visit(k$t$Fields[$i$], self.$n$);\n", "t", type.name(),
-                  "i", std::to_string(index++), "n", name);
-    });
-    m_out.Print("}\n\n");
+    WriteVisits(type, "visit(k$t$Fields[$i$], self.$n$)");
     WritePairVisitor(type);
   }
 
@@ -346,14 +352,7 @@
         "                     [[maybe_unused]] Other& other,\n"
         "                     [[maybe_unused]] Visitor&& visit) {\n",
         "n", type.name());
-    int index = 0;
-    ForEachMember(type, [&](const std::string& name, const std::string&,
-                            const std::string&, const pb::FieldDescriptor*,
-                            const pb::OneofDescriptor*) {
-      m_out.Print("  visit(k$t$Fields[$i$], self.$n$, other.$n$);\n", "t",
-                  type.name(), "i", std::to_string(index++), "n", name);
-    });
-    m_out.Print("}\n\n");
+    WriteVisits(type, "visit(k$t$Fields[$i$], self.$n$, other.$n$)");
   }
 
   const pb::FileDescriptor& m_file;
