Let the log take joiners from seeds, and configurations as one change

Cause: the users' platform names three seed addresses and nothing else, and an operator sends a whole configuration on top of a version. The log knew a fixed list of replicas and single edits.

Change: learners join through any replica that knows the leader; a cluster has at most max_voters voters and replaces one that stays silent; a new cluster takes its first command once it has founding_voters; PutConfiguration is a compare-and-set whose exact repeat is acknowledged again; commands can be submitted without a waiting thread. The mark of synced records has a checksum and goes down, synced, before the log becomes shorter: a power loss could have torn it or brought the old one back, and the folder would have been refused.

Ruled out: an exchange of a lost voter in one step (needs a proof of its own).

--- a/gen/rosemarywinch/schema/consensus.h
+++ b/gen/rosemarywinch/schema/consensus.h
@@ -391,13 +391,15 @@
 struct JoinResponse {
   bool empty = false;
   std::string to_instance;
+  uint32_t leader_id = 0;
 
   bool operator==(const JoinResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 2> kJoinResponseFields{{
+inline constexpr std::array<FieldInfo, 3> kJoinResponseFields{{
     {"empty", "", 0, 0, "", "", "", {}},
     {"to_instance", "", 0, 0, "", "", "", {}},
+    {"leader_id", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -406,6 +408,7 @@
                  [[maybe_unused]] Visitor&& visit) {
   visit(kJoinResponseFields[0], self.empty);
   visit(kJoinResponseFields[1], self.to_instance);
+  visit(kJoinResponseFields[2], self.leader_id);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -415,6 +418,7 @@
                      [[maybe_unused]] Visitor&& visit) {
   visit(kJoinResponseFields[0], self.empty, other.empty);
   visit(kJoinResponseFields[1], self.to_instance, other.to_instance);
+  visit(kJoinResponseFields[2], self.leader_id, other.leader_id);
 }
 
 struct PeerMessage {
--- a/gen/rosemarywinch/schema/control.h
+++ b/gen/rosemarywinch/schema/control.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "rosemarywinch/core/schema_support.h"
+#include "rosemarywinch/schema/errors.h"
 #include "rosemarywinch/schema/fleet.h"
 
 namespace rosemarywinch {
@@ -292,11 +293,12 @@
   Member member;
   std::vector<ServiceCursor> services;
   std::vector<AllowanceReport> allowances;
+  uint64_t configuration_version = 0;
 
   bool operator==(const PollRequest&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 10> kPollRequestFields{{
+inline constexpr std::array<FieldInfo, 11> kPollRequestFields{{
     {"protocol_version", "", 0, 0, "", "", "", {}},
     {"cluster", "", 0, 0, "", "", "", {}},
     {"node", "", 0, 0, "", "", "", {}},
@@ -307,6 +309,7 @@
     {"member", "", 0, 0, "", "", "", {}},
     {"services", "", 0, 0, "", "", "", {}},
     {"allowances", "", 0, 0, "", "", "", {}},
+    {"configuration_version", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -323,6 +326,7 @@
   visit(kPollRequestFields[7], self.member);
   visit(kPollRequestFields[8], self.services);
   visit(kPollRequestFields[9], self.allowances);
+  visit(kPollRequestFields[10], self.configuration_version);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -340,6 +344,8 @@
   visit(kPollRequestFields[7], self.member, other.member);
   visit(kPollRequestFields[8], self.services, other.services);
   visit(kPollRequestFields[9], self.allowances, other.allowances);
+  visit(kPollRequestFields[10], self.configuration_version,
+        other.configuration_version);
 }
 
 struct PollResponse {
@@ -352,11 +358,14 @@
   std::optional<FleetState> state;
   std::vector<ServiceUpdate> services;
   std::vector<AllowanceGrant> allowances;
+  uint64_t configuration_version = 0;
+  std::optional<std::string> configuration;
+  std::vector<uint32_t> replicas;
 
   bool operator==(const PollResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 9> kPollResponseFields{{
+inline constexpr std::array<FieldInfo, 12> kPollResponseFields{{
     {"cluster", "", 0, 0, "", "", "", {}},
     {"term", "", 0, 0, "", "", "", {}},
     {"sequence", "", 0, 0, "", "", "", {}},
@@ -366,6 +375,9 @@
     {"state", "", 0, 0, "", "", "", {}},
     {"services", "", 0, 0, "", "", "", {}},
     {"allowances", "", 0, 0, "", "", "", {}},
+    {"configuration_version", "", 0, 0, "", "", "", {}},
+    {"configuration", "", 0, 0, "", "", "", {}},
+    {"replicas", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -381,6 +393,9 @@
   visit(kPollResponseFields[6], self.state);
   visit(kPollResponseFields[7], self.services);
   visit(kPollResponseFields[8], self.allowances);
+  visit(kPollResponseFields[9], self.configuration_version);
+  visit(kPollResponseFields[10], self.configuration);
+  visit(kPollResponseFields[11], self.replicas);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -397,6 +412,43 @@
   visit(kPollResponseFields[6], self.state, other.state);
   visit(kPollResponseFields[7], self.services, other.services);
   visit(kPollResponseFields[8], self.allowances, other.allowances);
+  visit(kPollResponseFields[9], self.configuration_version,
+        other.configuration_version);
+  visit(kPollResponseFields[10], self.configuration, other.configuration);
+  visit(kPollResponseFields[11], self.replicas, other.replicas);
+}
+
+struct PollReply {
+  std::optional<PollResponse> response;
+  ErrorId error = ErrorId::kNone;
+  std::string detail;
+
+  bool operator==(const PollReply&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 3> kPollReplyFields{{
+    {"response", "", 0, 0, "", "", "", {}},
+    {"error", "", 0, 0, "", "", "", {}},
+    {"detail", "", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, PollReply>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kPollReplyFields[0], self.response);
+  visit(kPollReplyFields[1], self.error);
+  visit(kPollReplyFields[2], self.detail);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, PollReply> && SameType<Other, PollReply>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kPollReplyFields[0], self.response, other.response);
+  visit(kPollReplyFields[1], self.error, other.error);
+  visit(kPollReplyFields[2], self.detail, other.detail);
 }
 
 struct CommandRequest {
--- a/gen/rosemarywinch/schema/fleet.h
+++ b/gen/rosemarywinch/schema/fleet.h
@@ -339,17 +339,59 @@
   visit(kWithdrawKeyFields[0], self.key_id, other.key_id);
 }
 
+struct PutConfiguration {
+  uint64_t version = 0;
+  uint64_t base_version = 0;
+  std::string document;
+  std::string fingerprint;
+
+  bool operator==(const PutConfiguration&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 4> kPutConfigurationFields{{
+    {"version", "", 0, 0, "", "", "", {}},
+    {"base_version", "", 0, 0, "", "", "", {}},
+    {"document", "", 0, 0, "", "", "", {}},
+    {"fingerprint", "", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, PutConfiguration>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kPutConfigurationFields[0], self.version);
+  visit(kPutConfigurationFields[1], self.base_version);
+  visit(kPutConfigurationFields[2], self.document);
+  visit(kPutConfigurationFields[3], self.fingerprint);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, PutConfiguration> && SameType<Other, PutConfiguration>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kPutConfigurationFields[0], self.version, other.version);
+  visit(kPutConfigurationFields[1], self.base_version, other.base_version);
+  visit(kPutConfigurationFields[2], self.document, other.document);
+  visit(kPutConfigurationFields[3], self.fingerprint, other.fingerprint);
+}
+
 struct FleetCommand {
   std::string operation_id;
   std::string author;
   Duration unix_time{0};
-  std::variant<std::monostate, ChangeTree, GiveKey, WithdrawKey> change;
+  std::variant<std::monostate,
+               ChangeTree,
+               GiveKey,
+               WithdrawKey,
+               PutConfiguration>
+      change;
 
   bool operator==(const FleetCommand&) const = default;
 };
 
-inline constexpr std::array<std::string_view, 4> kFleetCommandChangeNames{
-    "none", "change_tree", "give_key", "withdraw_key"};
+inline constexpr std::array<std::string_view, 5> kFleetCommandChangeNames{
+    "none", "change_tree", "give_key", "withdraw_key", "put_configuration"};
 
 inline constexpr std::array<FieldInfo, 4> kFleetCommandFields{{
     {"operation_id", "", 0, 0, "", "", "", {}},
@@ -503,22 +545,88 @@
   visit(kHistoryRecordFields[1], self.command, other.command);
 }
 
+struct AcceptedConfiguration {
+  uint64_t version = 0;
+  std::string fingerprint;
+
+  bool operator==(const AcceptedConfiguration&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 2> kAcceptedConfigurationFields{{
+    {"version", "", 0, 0, "", "", "", {}},
+    {"fingerprint", "", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, AcceptedConfiguration>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kAcceptedConfigurationFields[0], self.version);
+  visit(kAcceptedConfigurationFields[1], self.fingerprint);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, AcceptedConfiguration> &&
+    SameType<Other, AcceptedConfiguration>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kAcceptedConfigurationFields[0], self.version, other.version);
+  visit(kAcceptedConfigurationFields[1], self.fingerprint, other.fingerprint);
+}
+
+struct ConfigurationRecord {
+  uint64_t version = 0;
+  std::string document;
+  std::vector<AcceptedConfiguration> accepted;
+
+  bool operator==(const ConfigurationRecord&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 3> kConfigurationRecordFields{{
+    {"version", "", 0, 0, "", "", "", {}},
+    {"document", "", 0, 0, "", "", "", {}},
+    {"accepted", "", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, ConfigurationRecord>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kConfigurationRecordFields[0], self.version);
+  visit(kConfigurationRecordFields[1], self.document);
+  visit(kConfigurationRecordFields[2], self.accepted);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, ConfigurationRecord> &&
+    SameType<Other, ConfigurationRecord>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kConfigurationRecordFields[0], self.version, other.version);
+  visit(kConfigurationRecordFields[1], self.document, other.document);
+  visit(kConfigurationRecordFields[2], self.accepted, other.accepted);
+}
+
 struct FleetState {
   uint64_t version = 0;
   std::map<std::string, PolicySettings> tree;
   std::map<std::string, KeyRecord> keys;
   std::vector<HistoryRecord> history;
   std::vector<OperationRecord> operations;
+  ConfigurationRecord configuration;
 
   bool operator==(const FleetState&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 5> kFleetStateFields{{
+inline constexpr std::array<FieldInfo, 6> kFleetStateFields{{
     {"version", "", 0, 0, "", "", "", {}},
     {"tree", "", 0, 0, "", "", "", {}},
     {"keys", "", 0, 0, "", "", "", {}},
     {"history", "", 0, 0, "", "", "", {}},
     {"operations", "", 0, 0, "", "", "", {}},
+    {"configuration", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -530,6 +638,7 @@
   visit(kFleetStateFields[2], self.keys);
   visit(kFleetStateFields[3], self.history);
   visit(kFleetStateFields[4], self.operations);
+  visit(kFleetStateFields[5], self.configuration);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -542,6 +651,7 @@
   visit(kFleetStateFields[2], self.keys, other.keys);
   visit(kFleetStateFields[3], self.history, other.history);
   visit(kFleetStateFields[4], self.operations, other.operations);
+  visit(kFleetStateFields[5], self.configuration, other.configuration);
 }
 
 }  // namespace rosemarywinch
--- a/gen/rosemarywinch/schema/settings.h
+++ b/gen/rosemarywinch/schema/settings.h
@@ -380,6 +380,233 @@
   visit(kOperatorSettingsFields[3], self.wait, other.wait);
 }
 
+struct MeshNodeSettings {
+  std::string node_name;
+  std::string data_centre;
+  std::string service;
+  std::string backend_address;
+  std::string caller_address;
+  std::string local_address;
+  std::string ready_address;
+  std::string peer_address;
+  std::string metrics_address;
+  std::string seeds;
+  uint32_t control_peer_port = 7000;
+  Duration poll_interval{500};
+  Duration report_interval{1500};
+  double stop_grace = 6;
+
+  bool operator==(const MeshNodeSettings&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 14> kMeshNodeSettingsFields{{
+    {"node_name", "", 0, 0, "", "name of this node", "", {}},
+    {"data_centre", "", 0, 0, "", "data centre of this node", "", {}},
+    {"service", "", 0, 0, "", "service of the local backend server", "", {}},
+    {"backend_address",
+     "",
+     0,
+     0,
+     "",
+     "HOST:PORT of the local backend server",
+     "",
+     {}},
+    {"caller_address", "", 0, 0, "", "HOST:PORT for callers", "", {}},
+    {"local_address",
+     "",
+     0,
+     0,
+     "",
+     "HOST:PORT at which the local backend server reports",
+     "",
+     {}},
+    {"ready_address", "", 0, 0, "", "HOST:PORT for readiness checks", "", {}},
+    {"peer_address", "", 0, 0, "", "HOST:PORT for other nodes", "", {}},
+    {"metrics_address", "", 0, 0, "", "HOST:PORT for metrics", "", {}},
+    {"seeds",
+     "",
+     0,
+     0,
+     "",
+     "addresses of some control replicas, comma separated",
+     "",
+     {}},
+    {"control_peer_port",
+     "",
+     1,
+     65535,
+     "7000",
+     "port at which control replicas accept nodes",
+     "",
+     {}},
+    {"poll_interval",
+     "ms",
+     50,
+     5000,
+     "500",
+     "pause between two polls of control",
+     "",
+     {}},
+    {"report_interval",
+     "ms",
+     100,
+     60000,
+     "1500",
+     "pause between two reports of the backend server",
+     "",
+     {}},
+    {"stop_grace",
+     "s",
+     0.1,
+     3600,
+     "6",
+     "time after which a planned stop is cut short from outside",
+     "",
+     {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, MeshNodeSettings>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kMeshNodeSettingsFields[0], self.node_name);
+  visit(kMeshNodeSettingsFields[1], self.data_centre);
+  visit(kMeshNodeSettingsFields[2], self.service);
+  visit(kMeshNodeSettingsFields[3], self.backend_address);
+  visit(kMeshNodeSettingsFields[4], self.caller_address);
+  visit(kMeshNodeSettingsFields[5], self.local_address);
+  visit(kMeshNodeSettingsFields[6], self.ready_address);
+  visit(kMeshNodeSettingsFields[7], self.peer_address);
+  visit(kMeshNodeSettingsFields[8], self.metrics_address);
+  visit(kMeshNodeSettingsFields[9], self.seeds);
+  visit(kMeshNodeSettingsFields[10], self.control_peer_port);
+  visit(kMeshNodeSettingsFields[11], self.poll_interval);
+  visit(kMeshNodeSettingsFields[12], self.report_interval);
+  visit(kMeshNodeSettingsFields[13], self.stop_grace);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, MeshNodeSettings> && SameType<Other, MeshNodeSettings>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kMeshNodeSettingsFields[0], self.node_name, other.node_name);
+  visit(kMeshNodeSettingsFields[1], self.data_centre, other.data_centre);
+  visit(kMeshNodeSettingsFields[2], self.service, other.service);
+  visit(kMeshNodeSettingsFields[3], self.backend_address,
+        other.backend_address);
+  visit(kMeshNodeSettingsFields[4], self.caller_address, other.caller_address);
+  visit(kMeshNodeSettingsFields[5], self.local_address, other.local_address);
+  visit(kMeshNodeSettingsFields[6], self.ready_address, other.ready_address);
+  visit(kMeshNodeSettingsFields[7], self.peer_address, other.peer_address);
+  visit(kMeshNodeSettingsFields[8], self.metrics_address,
+        other.metrics_address);
+  visit(kMeshNodeSettingsFields[9], self.seeds, other.seeds);
+  visit(kMeshNodeSettingsFields[10], self.control_peer_port,
+        other.control_peer_port);
+  visit(kMeshNodeSettingsFields[11], self.poll_interval, other.poll_interval);
+  visit(kMeshNodeSettingsFields[12], self.report_interval,
+        other.report_interval);
+  visit(kMeshNodeSettingsFields[13], self.stop_grace, other.stop_grace);
+}
+
+struct MeshControlSettings {
+  std::string node_name;
+  std::string operator_address;
+  std::string peer_address;
+  std::string metrics_address;
+  std::string seeds;
+  std::string data_folder;
+  bool founding = false;
+  uint32_t tolerated_losses = 1;
+  Duration withdrawal_limit{5000};
+
+  bool operator==(const MeshControlSettings&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 9> kMeshControlSettingsFields{{
+    {"node_name", "", 0, 0, "", "name of this replica", "", {}},
+    {"operator_address", "", 0, 0, "", "HOST:PORT for operators", "", {}},
+    {"peer_address",
+     "",
+     0,
+     0,
+     "",
+     "HOST:PORT for nodes and other replicas",
+     "",
+     {}},
+    {"metrics_address", "", 0, 0, "", "HOST:PORT for metrics", "", {}},
+    {"seeds",
+     "",
+     0,
+     0,
+     "",
+     "addresses of some control replicas, comma separated",
+     "",
+     {}},
+    {"data_folder", "", 0, 0, "", "folder for the log and snapshots", "", {}},
+    {"founding",
+     "",
+     0,
+     0,
+     "false",
+     "whether the whole fleet starts for the first time",
+     "",
+     {}},
+    {"tolerated_losses",
+     "replicas",
+     0,
+     4,
+     "1",
+     "replicas that may be lost at the same time",
+     "",
+     {}},
+    {"withdrawal_limit",
+     "ms",
+     500,
+     60000,
+     "5000",
+     "time within which a withdrawn key must stop working everywhere",
+     "",
+     {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, MeshControlSettings>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kMeshControlSettingsFields[0], self.node_name);
+  visit(kMeshControlSettingsFields[1], self.operator_address);
+  visit(kMeshControlSettingsFields[2], self.peer_address);
+  visit(kMeshControlSettingsFields[3], self.metrics_address);
+  visit(kMeshControlSettingsFields[4], self.seeds);
+  visit(kMeshControlSettingsFields[5], self.data_folder);
+  visit(kMeshControlSettingsFields[6], self.founding);
+  visit(kMeshControlSettingsFields[7], self.tolerated_losses);
+  visit(kMeshControlSettingsFields[8], self.withdrawal_limit);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, MeshControlSettings> &&
+    SameType<Other, MeshControlSettings>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kMeshControlSettingsFields[0], self.node_name, other.node_name);
+  visit(kMeshControlSettingsFields[1], self.operator_address,
+        other.operator_address);
+  visit(kMeshControlSettingsFields[2], self.peer_address, other.peer_address);
+  visit(kMeshControlSettingsFields[3], self.metrics_address,
+        other.metrics_address);
+  visit(kMeshControlSettingsFields[4], self.seeds, other.seeds);
+  visit(kMeshControlSettingsFields[5], self.data_folder, other.data_folder);
+  visit(kMeshControlSettingsFields[6], self.founding, other.founding);
+  visit(kMeshControlSettingsFields[7], self.tolerated_losses,
+        other.tolerated_losses);
+  visit(kMeshControlSettingsFields[8], self.withdrawal_limit,
+        other.withdrawal_limit);
+}
+
 }  // namespace rosemarywinch
 
 #endif  // ROSEMARYWINCH_SCHEMA_SETTINGS_H_
--- a/include/rosemarywinch/adapters/file_storage.h
+++ b/include/rosemarywinch/adapters/file_storage.h
@@ -35,6 +35,7 @@
   Result<Done> ReplaceFile(const char* name, const std::string& bytes) const;
   Result<Done> RewriteLog(const std::vector<LogEntry>& entries);
   Result<Done> MarkSynced(uint64_t index);
+  Result<Done> LowerSynced(uint64_t index);
   Result<std::vector<LogEntry>> ReadLog();
 
   const std::string m_folder;
--- a/include/rosemarywinch/adapters/json_codec.h
+++ b/include/rosemarywinch/adapters/json_codec.h
@@ -126,8 +126,22 @@
   }
 }
 
+inline void RequireKind(const Json& json, bool holds, const char* message) {
+  if (!holds) {
+    throw Json::type_error::create(302, message, &json);
+  }
+}
+
 template <typename T>
 void DecodeEnum(const Json& json, T& value) {
+  if (json.is_string()) {
+    const auto named = EnumFromName<T>(json.get_ref<const std::string&>());
+    if (!named) {
+      throw Json::out_of_range::create(401, "unknown enum name", &json);
+    }
+    value = *named;
+    return;
+  }
   const int number = json.get<int>();
   for (const auto& entry : EnumTable(T{})) {
     if (static_cast<int>(entry.value) == number) {
@@ -159,10 +173,12 @@
   } else if constexpr (IsOptional<T>::value) {
     Decode(json, value.emplace());
   } else if constexpr (IsVector<T>::value) {
+    RequireKind(json, json.is_array(), "not an array");
     for (const Json& element : json) {
       Decode(element, value.emplace_back());
     }
   } else if constexpr (IsMap<T>::value) {
+    RequireKind(json, json.is_object(), "not an object");
     for (const auto& [key, element] : json.items()) {
       Decode(element, value[key]);
     }
--- a/include/rosemarywinch/decisions/consensus/replica.h
+++ b/include/rosemarywinch/decisions/consensus/replica.h
@@ -79,6 +79,13 @@
     std::vector<uint32_t> replica_ids;
     Duration heartbeat{150};
     Duration election_timeout{1000};
+    /// Whether this replica may make a new cluster when all are empty.
+    bool may_found = true;
+    /// Voters that the cluster has when all are well; further replicas stay
+    /// learners, ready to replace a voter that is lost. 0 admits every one.
+    size_t max_voters = 0;
+    /// Silence after which a voter counts as lost.
+    Duration lost_after{3000};
   };
 
   /// `recovered.hard.self.instance` must be set by the caller.
@@ -112,6 +119,7 @@
   uint64_t commit_index() const { return m_commit_index; }
   const ReplicatedLog& log() const { return m_log; }
   std::optional<uint32_t> leader_id() const { return m_leader_id; }
+  size_t VoterCount() const { return m_log.Voters().size(); }
   /// Returns the time at which this replica won its term.
   std::optional<TimePoint> LeaderSince() const;
 
@@ -167,6 +175,10 @@
   void AdvanceCommit(Leader& leader);
   void CommitUpTo(uint64_t index);
   void AdmitIfCaughtUp(Leader& leader, const ReplicaRef& learner);
+  bool HasRoomForVoter(const Leader& leader) const;
+  bool IsLost(const Leader& leader, const ReplicaRef& voter) const;
+  void RemoveLostVoter(Leader& leader);
+  bool IsSettled(const Leader& leader) const;
   void TrackVoters(Leader& leader);
   void AppendOwn(LogEntry entry);
   void AcceptEntries(const AppendRequest& body);
@@ -190,6 +202,8 @@
   TimePoint m_election_due;
   TimePoint m_next_join;
   std::set<uint32_t> m_empty_peers;
+  /// Replicas that the answers of others named.
+  std::set<uint32_t> m_known_replicas;
   Effects m_effects;
 };
 
--- a/include/rosemarywinch/decisions/fleet/fleet_store.h
+++ b/include/rosemarywinch/decisions/fleet/fleet_store.h
@@ -15,6 +15,9 @@
 inline constexpr size_t kMaxKeysPerAccount = 2;
 /// Commands that are kept for `tree history` and for nodes that lag.
 inline constexpr size_t kMaxHistory = 1024;
+/// Fingerprints of configurations that are kept, so that one sent again gets
+/// the answer that it got before.
+inline constexpr size_t kMaxAcceptedConfigurations = 8192;
 /// Results that are kept for commands sent again.
 inline constexpr size_t kMaxOperations = 4096;
 
--- a/include/rosemarywinch/programs/consensus_driver.h
+++ b/include/rosemarywinch/programs/consensus_driver.h
@@ -38,6 +38,9 @@
   struct Options {
     consensus::Replica::Options replica;
     uint64_t snapshot_entries = 256;
+    /// Voters that a new cluster must have before it takes its first command:
+    /// with fewer, one lost disk could lose what was accepted.
+    size_t founding_voters = 1;
   };
 
   ConsensusDriver(Options options,
@@ -56,6 +59,13 @@
 
   void Receive(const PeerMessage& message);
 
+  /// Told of a proposed command, under the driver's lock; must not call back.
+  using SubmitDone = std::function<void(Outcome<CommandResult>)>;
+
+  /// Proposes a command; `done` is told once it is applied or lost.
+  /// Errors: kNotLeader, kNotAccepted when it may or may not be accepted.
+  void SubmitAsync(FleetCommand command, SubmitDone done);
+
   /// Proposes a command and waits until it is applied.
   /// Errors: kNotLeader, kNotAccepted when it may or may not be accepted.
   Result<CommandResult> Submit(FleetCommand command, Duration limit);
@@ -71,14 +81,16 @@
   /// Reads the state as of now. Errors: kNotLeader.
   Result<LeaderView> ReadAsLeader();
 
+  /// Ids of the voting replicas.
+  std::vector<uint32_t> VoterIds();
+
   /// Fills in what a status page shows of the log.
   ControlStatus Status();
 
  private:
   struct Waiter {
     uint64_t term = 0;
-    std::optional<CommandResult> result;
-    bool lost = false;
+    SubmitDone done;
   };
 
   void TickLoop();
@@ -93,6 +105,8 @@
   void CarryOut(const consensus::RoleChanged& effect);
   void CompactIfLong();
   Error NotLeader() const;
+  bool MayServe(TimePoint now) const;
+  void LoseWaiters();
 
   const Options m_options;
   Clock& m_clock;
@@ -106,7 +120,7 @@
   std::unique_ptr<consensus::Replica> m_replica;
   FleetState m_state;
   std::shared_ptr<const FleetState> m_published;
-  std::map<uint64_t, Waiter*> m_waiters;
+  std::map<uint64_t, Waiter> m_waiters;
   bool m_stopping = false;
   std::thread m_ticker;
 };
--- a/src/adapters/file_storage.cc
+++ b/src/adapters/file_storage.cc
@@ -6,7 +6,10 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
+#include <cstdio>
+#include <cstdlib>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
@@ -99,6 +102,29 @@
   return Done{};
 }
 
+// Text of the `synced` file: digits of fixed width, so that an overwrite never
+// leaves digits of an older value, and their checksum.
+std::string SyncedText(uint64_t index) {
+  std::array<char, 40> text{};
+  const int digits = std::snprintf(text.data(), text.size(), "%020llu",
+                                   static_cast<unsigned long long>(index));
+  const uint64_t checksum =
+      XXH3_64bits(text.data(), static_cast<size_t>(digits));
+  std::snprintf(text.data() + digits,
+                text.size() - static_cast<size_t>(digits), " %016llx",
+                static_cast<unsigned long long>(checksum));
+  return text.data();
+}
+
+// A write of the mark that a power loss tore says nothing: 0.
+uint64_t ReadSynced(const std::optional<std::string>& text) {
+  if (!text) {
+    return 0;
+  }
+  const uint64_t index = std::strtoull(text->c_str(), nullptr, 10);
+  return SyncedText(index) == *text ? index : 0;
+}
+
 // Reads a file that holds one record; an absent file gives an empty message.
 template <typename T>
 Result<T> ReadMessage(const std::string& path) {
@@ -136,14 +162,15 @@
                 [&](const LogEntry& entry) { return entry.index <= start; });
   recovered.entries = std::move(entries);
   const uint64_t last = start + recovered.entries.size();
-  const std::string synced = ReadFile(PathOf(kSyncedFile)).value_or("0");
-  const bool lost = std::strtoull(synced.c_str(), nullptr, 10) > last;
+  const uint64_t synced = ReadSynced(ReadFile(PathOf(kSyncedFile)));
+  const bool lost = synced > last;
   const bool gap =
       !recovered.entries.empty() && recovered.entries.back().index != last;
   if (lost || gap) {
     return Fail(ErrorId::kCorruptRecord, PathOf(kLogFile) + " ends at " +
                                              std::to_string(last) +
-                                             ", synced was " + synced);
+                                             ", synced was " +
+                                             std::to_string(synced));
   }
   if (recovered.hard.self.instance.empty() && last > 0) {
     return Fail(ErrorId::kCorruptRecord, PathOf(kStateFile) + " is missing");
@@ -172,15 +199,15 @@
   BOOST_LEAF_AUTO(entries, ReadLog());
   std::erase_if(entries,
                 [&](const LogEntry& entry) { return entry.index >= index; });
-  BOOST_LEAF_CHECK(MarkSynced(index - 1));
+  BOOST_LEAF_CHECK(LowerSynced(index - 1));
   return RewriteLog(entries);
 }
 
 Result<Done> FileStorage::SaveSnapshot(const Snapshot& snapshot,
                                        const std::vector<LogEntry>& kept) {
   BOOST_LEAF_CHECK(ReplaceFile(kSnapshotFile, Frame(ToBinary(snapshot))));
-  BOOST_LEAF_CHECK(RewriteLog(kept));
-  return MarkSynced(snapshot.last_index + kept.size());
+  BOOST_LEAF_CHECK(LowerSynced(snapshot.last_index + kept.size()));
+  return RewriteLog(kept);
 }
 
 std::string FileStorage::PathOf(const char* name) const {
@@ -228,11 +255,19 @@
 }
 
 Result<Done> FileStorage::MarkSynced(uint64_t index) {
-  // Fixed width, so that an overwrite never leaves digits of an older value.
-  char text[24];
-  const int length = std::snprintf(text, sizeof(text), "%020llu",
-                                   static_cast<unsigned long long>(index));
-  if (::pwrite(m_synced, text, static_cast<size_t>(length), 0) != length) {
+  const std::string text = SyncedText(index);
+  const ssize_t written = ::pwrite(m_synced, text.data(), text.size(), 0);
+  if (written != static_cast<ssize_t>(text.size())) {
+    return FailDisk(PathOf(kSyncedFile));
+  }
+  return Done{};
+}
+
+// A mark that goes down must last before the log becomes shorter: otherwise a
+// power loss would bring the old mark back beside the new log.
+Result<Done> FileStorage::LowerSynced(uint64_t index) {
+  BOOST_LEAF_CHECK(MarkSynced(index));
+  if (::fdatasync(m_synced) != 0) {
     return FailDisk(PathOf(kSyncedFile));
   }
   return Done{};
@@ -245,11 +280,7 @@
   std::string_view rest = bytes;
   while (!rest.empty()) {
     const ParsedFrame frame = ParseFrame(rest);
-    const size_t size = kHeaderBytes + frame.payload.size();
-    const bool at_end = size == rest.size();
-    if (frame.state == FrameState::kCorrupt && !at_end) {
-      return Fail(ErrorId::kCorruptRecord, path);
-    }
+    // What follows was never synced, or Recover() finds it missing.
     if (frame.state != FrameState::kWhole) {
       std::error_code code;
       std::filesystem::resize_file(path, bytes.size() - rest.size(), code);
@@ -257,7 +288,7 @@
     }
     BOOST_LEAF_AUTO(entry, FromBinary<LogEntry>(frame.payload));
     entries.push_back(std::move(entry));
-    rest.remove_prefix(size);
+    rest.remove_prefix(kHeaderBytes + frame.payload.size());
   }
   return entries;
 }
--- a/src/decisions/consensus/replica.cc
+++ b/src/decisions/consensus/replica.cc
@@ -254,7 +254,8 @@
 
 void Replica::Handle(const PeerMessage& message, const JoinRequest&) {
   Send(message.from.replica_id,
-       JoinResponse{m_hard.cluster.empty(), message.from.instance});
+       JoinResponse{m_hard.cluster.empty(), message.from.instance,
+                    m_leader_id.value_or(0)});
   auto* leader = std::get_if<Leader>(&m_role);
   if (leader == nullptr || message.from.replica_id == m_options.replica_id) {
     return;
@@ -270,6 +271,9 @@
 }
 
 void Replica::Handle(const PeerMessage& message, const JoinResponse& body) {
+  if (body.leader_id != 0) {
+    m_known_replicas.insert(body.leader_id);
+  }
   const bool current = m_hard.cluster.empty() && body.empty &&
                        body.to_instance == m_hard.self.instance;
   if (!current) {
@@ -278,6 +282,7 @@
   m_empty_peers.insert(message.from.replica_id);
   const auto& ids = m_options.replica_ids;
   const bool first =
+      m_options.may_found &&
       *std::min_element(ids.begin(), ids.end()) == m_options.replica_id;
   if (first && m_empty_peers.size() + 1 == ids.size()) {
     Bootstrap();
@@ -378,7 +383,9 @@
     return;
   }
   m_next_join = m_now + m_options.heartbeat;
-  if (m_hard.cluster.empty() && m_options.replica_ids.size() == 1) {
+  const bool alone = m_options.replica_ids.size() == 1 &&
+                     m_options.replica_ids[0] == m_options.replica_id;
+  if (m_hard.cluster.empty() && alone && m_options.may_found) {
     Bootstrap();
     return;
   }
@@ -386,7 +393,13 @@
 }
 
 void Replica::SendJoinRequests() {
-  for (uint32_t id : m_options.replica_ids) {
+  std::set<uint32_t> ids(m_options.replica_ids.begin(),
+                         m_options.replica_ids.end());
+  ids.insert(m_known_replicas.begin(), m_known_replicas.end());
+  for (const ReplicaRef& voter : m_log.Voters()) {
+    ids.insert(voter.replica_id);
+  }
+  for (uint32_t id : ids) {
     if (id != m_options.replica_id) {
       Send(id, JoinRequest{m_hard.cluster.empty()});
     }
@@ -400,11 +413,56 @@
     BecomeFollower();
     return;
   }
+  RemoveLostVoter(leader);
   if (m_now >= leader.next_heartbeat) {
     BroadcastAppend(leader);
   }
 }
 
+bool Replica::IsSettled(const Leader& leader) const {
+  return m_commit_index >= leader.first_index &&
+         m_commit_index >= m_log.VotersIndex();
+}
+
+bool Replica::IsLost(const Leader& leader, const ReplicaRef& voter) const {
+  if (voter.instance == m_hard.self.instance) {
+    return false;
+  }
+  const auto found = leader.followers.find(voter.instance);
+  const TimePoint heard = found == leader.followers.end()
+                              ? leader.since
+                              : found->second.acknowledged;
+  return m_now >= heard + m_options.lost_after;
+}
+
+bool Replica::HasRoomForVoter(const Leader& leader) const {
+  const auto& voters = m_log.Voters();
+  const auto live =
+      std::count_if(voters.begin(), voters.end(), [&](const ReplicaRef& voter) {
+        return !IsLost(leader, voter);
+      });
+  return m_options.max_voters == 0 ||
+         static_cast<size_t>(live) < m_options.max_voters;
+}
+
+void Replica::RemoveLostVoter(Leader& leader) {
+  const auto& voters = m_log.Voters();
+  const bool spare =
+      m_options.max_voters > 0 && voters.size() > m_options.max_voters;
+  if (!spare || !IsSettled(leader)) {
+    return;
+  }
+  const auto lost =
+      std::find_if(voters.begin(), voters.end(),
+                   [&](const ReplicaRef& v) { return IsLost(leader, v); });
+  if (lost == voters.end()) {
+    return;
+  }
+  VoterChange change{voters};
+  change.voters.erase(change.voters.begin() + (lost - voters.begin()));
+  AppendOwn(LogEntry{m_log.LastIndex() + 1, m_hard.term, std::move(change)});
+}
+
 void Replica::BroadcastAppend(Leader& leader) {
   leader.next_heartbeat = m_now + m_options.heartbeat;
   ++leader.round;
@@ -471,11 +529,9 @@
 }
 
 void Replica::AdmitIfCaughtUp(Leader& leader, const ReplicaRef& learner) {
-  const bool settled = m_commit_index >= leader.first_index &&
-                       m_commit_index >= m_log.VotersIndex();
   const Progress& progress = leader.followers.at(learner.instance);
   const bool caught_up = progress.match_index >= m_commit_index;
-  if (!settled || !caught_up || IsVoterInstance(learner.instance)) {
+  if (!IsSettled(leader) || !caught_up || IsVoterInstance(learner.instance)) {
     return;
   }
   // One voter changes at a time: the old instance goes first, the new one
@@ -485,6 +541,9 @@
       std::erase_if(change.voters, [&](const ReplicaRef& voter) {
         return voter.replica_id == learner.replica_id;
       });
+  if (replaced == 0 && !HasRoomForVoter(leader)) {
+    return;
+  }
   if (replaced == 0) {
     change.voters.push_back(learner);
   }
--- a/src/decisions/fleet/fleet_store.cc
+++ b/src/decisions/fleet/fleet_store.cc
@@ -119,6 +119,39 @@
   return Done{};
 }
 
+// Tells whether this very configuration was accepted before.
+bool WasAccepted(const ConfigurationRecord& record,
+                 const PutConfiguration& change) {
+  return std::any_of(record.accepted.begin(), record.accepted.end(),
+                     [&](const AcceptedConfiguration& accepted) {
+                       return accepted.version == change.version &&
+                              accepted.fingerprint == change.fingerprint;
+                     });
+}
+
+Result<Done> Apply(FleetState& state, const PutConfiguration& change) {
+  ConfigurationRecord& record = state.configuration;
+  if (WasAccepted(record, change)) {
+    return Done{};
+  }
+  if (change.base_version != record.version) {
+    return Fail(ErrorId::kConflict,
+                "version " + std::to_string(record.version) + " is in place");
+  }
+  if (change.version <= record.version) {
+    return Fail(ErrorId::kBadValue,
+                "version " + std::to_string(change.version) +
+                    " is not above " + std::to_string(record.version));
+  }
+  record.version = change.version;
+  record.document = change.document;
+  record.accepted.push_back({change.version, change.fingerprint});
+  if (record.accepted.size() > kMaxAcceptedConfigurations) {
+    record.accepted.erase(record.accepted.begin());
+  }
+  return Done{};
+}
+
 Result<Done> Apply(FleetState&, std::monostate) {
   return Fail(ErrorId::kMalformedMessage, "command without a change");
 }
@@ -158,11 +191,45 @@
                  [](const WithdrawKey& change) {
                    return "withdraw key " + change.key_id;
                  },
+                 [](const PutConfiguration& change) {
+                   return "put configuration " +
+                          std::to_string(change.version) + " on " +
+                          std::to_string(change.base_version) + ", " +
+                          change.fingerprint;
+                 },
                  [](std::monostate) { return std::string("nothing"); }},
       command.change);
 }
 
+namespace {
+
+// Configurations are told apart by version and fingerprint, not by operation
+// id, and are too large for the history.
+CommandResult ApplyConfiguration(FleetState& state,
+                                 const FleetCommand& command) {
+  CommandResult result;
+  const uint64_t before = state.configuration.version;
+  const Outcome<Done> outcome =
+      Capture([&] { return ApplyChange(state, command); });
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    result.error = error->id;
+    result.detail = error->detail;
+  }
+  if (state.configuration.version != before) {
+    FleetCommand brief = command;
+    std::get<PutConfiguration>(brief.change).document.clear();
+    Remember(state, brief);
+  }
+  result.version = state.configuration.version;
+  return result;
+}
+
+}  // namespace
+
 CommandResult ApplyCommand(FleetState& state, const FleetCommand& command) {
+  if (std::holds_alternative<PutConfiguration>(command.change)) {
+    return ApplyConfiguration(state, command);
+  }
   const std::string fingerprint = Describe(command);
   const auto seen = std::find_if(
       state.operations.begin(), state.operations.end(),
@@ -191,6 +258,11 @@
 }
 
 void ApplyAccepted(FleetState& state, const HistoryRecord& record) {
+  // Nodes are told the configuration itself beside the commands.
+  if (std::holds_alternative<PutConfiguration>(record.command.change)) {
+    state.version = record.version;
+    return;
+  }
   static_cast<void>(
       Capture([&] { return ApplyChange(state, record.command); }));
   state.version = record.version;
--- a/src/programs/consensus_driver.cc
+++ b/src/programs/consensus_driver.cc
@@ -62,6 +62,7 @@
   {
     std::scoped_lock lock(m_mutex);
     m_stopping = true;
+    LoseWaiters();
     m_changed.notify_all();
   }
   if (m_ticker.joinable()) {
@@ -88,37 +89,47 @@
   }
 }
 
-Result<CommandResult> ConsensusDriver::Submit(FleetCommand command,
-                                              Duration limit) {
-  std::unique_lock lock(m_mutex);
+void ConsensusDriver::SubmitAsync(FleetCommand command, SubmitDone done) {
+  std::scoped_lock lock(m_mutex);
   consensus::Effects effects;
   const auto position =
-      m_replica->Propose(m_clock.Now(), std::move(command), effects);
+      MayServe(m_clock.Now())
+          ? m_replica->Propose(m_clock.Now(), std::move(command), effects)
+          : std::nullopt;
   if (!position) {
-    return boost::leaf::new_error(NotLeader());
+    done(NotLeader());
+    return;
   }
-  Waiter waiter;
-  waiter.term = position->term;
-  m_waiters[position->index] = &waiter;
+  m_waiters[position->index] = Waiter{position->term, std::move(done)};
   CarryOut(effects);
-  m_changed.wait_for(lock, std::chrono::milliseconds(limit.ms), [&] {
-    return waiter.result || waiter.lost || m_stopping;
+}
+
+Result<CommandResult> ConsensusDriver::Submit(FleetCommand command,
+                                              Duration limit) {
+  struct Wait {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::optional<Outcome<CommandResult>> outcome;
+  };
+  const auto wait = std::make_shared<Wait>();
+  SubmitAsync(std::move(command), [wait](Outcome<CommandResult> outcome) {
+    std::scoped_lock lock(wait->mutex);
+    wait->outcome = std::move(outcome);
+    wait->changed.notify_all();
   });
-  if (const auto found = m_waiters.find(position->index);
-      found != m_waiters.end() && found->second == &waiter) {
-    m_waiters.erase(found);
+  std::unique_lock lock(wait->mutex);
+  wait->changed.wait_for(lock, std::chrono::milliseconds(limit.ms),
+                         [&] { return wait->outcome.has_value(); });
+  if (!wait->outcome) {
+    return Fail(ErrorId::kNotAccepted, "no quorum answered in time");
   }
-  if (!waiter.result) {
-    return Fail(ErrorId::kNotAccepted,
-                "no quorum answered in time, or the leader changed");
-  }
-  return *waiter.result;
+  return Release(std::move(*wait->outcome));
 }
 
 Result<ConsensusDriver::LeaderView> ConsensusDriver::ReadAsLeader() {
   std::scoped_lock lock(m_mutex);
   const TimePoint now = m_clock.Now();
-  if (!m_replica->MayServe(now)) {
+  if (!MayServe(now)) {
     return boost::leaf::new_error(NotLeader());
   }
   if (m_published == nullptr) {
@@ -128,6 +139,15 @@
                     m_published};
 }
 
+std::vector<uint32_t> ConsensusDriver::VoterIds() {
+  std::scoped_lock lock(m_mutex);
+  std::vector<uint32_t> ids;
+  for (const ReplicaRef& voter : m_replica->log().Voters()) {
+    ids.push_back(voter.replica_id);
+  }
+  return ids;
+}
+
 ControlStatus ConsensusDriver::Status() {
   std::scoped_lock lock(m_mutex);
   const auto& log = m_replica->log();
@@ -184,13 +204,13 @@
   if (found == m_waiters.end()) {
     return;
   }
-  Waiter& waiter = *found->second;
+  const Waiter waiter = std::move(found->second);
+  m_waiters.erase(found);
   if (m_replica->log().TermAt(effect.index) == waiter.term) {
-    waiter.result = std::move(result);
+    waiter.done(std::move(result));
   } else {
-    waiter.lost = true;
+    waiter.done(Error{ErrorId::kNotAccepted, "another leader's command won"});
   }
-  m_changed.notify_all();
 }
 
 void ConsensusDriver::CarryOut(const consensus::RestoreState& effect) {
@@ -208,10 +228,19 @@
     return;
   }
   m_listener.OnFollower(now);
-  for (auto& [index, waiter] : m_waiters) {
-    waiter->lost = true;
+  LoseWaiters();
+}
+
+void ConsensusDriver::LoseWaiters() {
+  for (const auto& [index, waiter] : std::exchange(m_waiters, {})) {
+    waiter.done(Error{ErrorId::kNotAccepted, "the leader changed"});
   }
-  m_changed.notify_all();
+}
+
+bool ConsensusDriver::MayServe(TimePoint now) const {
+  const bool founded = m_state.version > 0 ||
+                       m_replica->VoterCount() >= m_options.founding_voters;
+  return founded && m_replica->MayServe(now);
 }
 
 void ConsensusDriver::CompactIfLong() {
--- a/src/programs/settings_reader.cc
+++ b/src/programs/settings_reader.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr const char* kFileSetting = "settings_file";
+// Variable by which a supervisor may name the settings file too.
+constexpr const char* kSupervisorFile = "config";
 
 std::string FlagName(const std::string& name) {
   std::string flag = "--" + name;
@@ -69,9 +71,11 @@
 
 std::vector<Error> SettingsReader::Apply(
     const std::map<std::string, std::string>& env) {
-  const auto file = env.find(VariableName(kFileSetting));
-  if (m_file.empty() && file != env.end()) {
-    m_file = file->second;
+  for (const char* setting : {kFileSetting, kSupervisorFile}) {
+    const auto file = env.find(VariableName(setting));
+    if (m_file.empty() && file != env.end()) {
+      m_file = file->second;
+    }
   }
   if (!m_file.empty()) {
     ApplyFile(m_file);
@@ -119,7 +123,11 @@
       RefuseUnknown(where + " " + name, name);
       continue;
     }
-    Assign(name, Trim(line.substr(equals + 1)));
+    // A name without a value keeps its default.
+    if (const std::string value = Trim(line.substr(equals + 1));
+        !value.empty()) {
+      Assign(name, value);
+    }
   }
 }
 
@@ -127,7 +135,8 @@
     const std::map<std::string, std::string>& env) {
   for (const auto& [variable, value] : env) {
     if (!variable.starts_with(kEnvironmentPrefix) ||
-        variable == VariableName(kFileSetting)) {
+        variable == VariableName(kFileSetting) ||
+        variable == VariableName(kSupervisorFile)) {
       continue;
     }
     std::string name = variable.substr(kEnvironmentPrefix.size());
