--- /dev/null
+++ b/include/rosemarywinch/adapters/async/async_http_connection.h
@@ -0,0 +1,82 @@
+#ifndef ROSEMARYWINCH_ADAPTERS_ASYNC_ASYNC_HTTP_CONNECTION_H_
+#define ROSEMARYWINCH_ADAPTERS_ASYNC_ASYNC_HTTP_CONNECTION_H_
+
+#include <array>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "rosemarywinch/adapters/async/async_http_server.h"
+#include "rosemarywinch/adapters/async/http_text.h"
+
+namespace rosemarywinch {
+
+/// One caller's connection. All of it runs on one strand: a loop that reads
+/// all the time, so that it sees the caller leave; one that parses and starts
+/// requests; and one that writes answers in the order of the requests.
+class AsyncHttpConnection
+    : public std::enable_shared_from_this<AsyncHttpConnection> {
+ public:
+  AsyncHttpConnection(std::shared_ptr<AsyncHttpServer> server,
+                      Tcp::socket socket);
+
+  void Start();
+
+  /// Closes the connection if nothing is going on, else after the last answer.
+  void CloseWhenIdle();
+
+ private:
+  struct Exchange {
+    std::shared_ptr<RequestScope> scope = std::make_shared<RequestScope>();
+    std::optional<HttpResponse> response;
+    bool head = false;
+  };
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  asio::awaitable<void> ReadLoop();
+  asio::awaitable<void> ParseLoop();
+  asio::awaitable<void> WriteLoop();
+  asio::awaitable<void> WatchLoop();
+  asio::awaitable<void> Run(std::shared_ptr<Exchange> exchange,
+                            HttpRequest request);
+  bool ParseSome();
+  void Dispatch(BeastRequest message);
+  void RefuseInput(int status);
+  void NewParser();
+  std::optional<std::chrono::steady_clock::time_point> QuietDeadline() const;
+  void Close();
+  void Wake();
+  asio::awaitable<void> WaitForChange();
+
+  static constexpr size_t kReadBytes = 4'096;
+
+  const std::shared_ptr<AsyncHttpServer> m_server;
+  asio::strand<asio::any_io_executor> m_strand;
+  Tcp::socket m_socket;
+  const AsyncServerLimits m_limits;
+  /// Where bytes arrive; they are then appended to what waits for the parser.
+  std::array<char, kReadBytes> m_chunk;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  std::deque<std::shared_ptr<Exchange>> m_exchanges;
+  /// Wakes the loops that wait for a change of this connection.
+  asio::steady_timer m_changed;
+  std::chrono::steady_clock::time_point m_last_activity;
+  std::chrono::steady_clock::time_point m_request_began;
+  bool m_partial = false;
+  /// No further request is taken from this connection.
+  bool m_last_request = false;
+  bool m_closed = false;
+  /// An answer that the read loop wants to send before any other.
+  bool m_continue_wanted = false;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_ADAPTERS_ASYNC_ASYNC_HTTP_CONNECTION_H_
--- /dev/null
+++ b/include/rosemarywinch/adapters/async/async_http_server.h
@@ -0,0 +1,83 @@
+#ifndef ROSEMARYWINCH_ADAPTERS_ASYNC_ASYNC_HTTP_SERVER_H_
+#define ROSEMARYWINCH_ADAPTERS_ASYNC_ASYNC_HTTP_SERVER_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "rosemarywinch/adapters/async/net.h"
+#include "rosemarywinch/adapters/async/request_scope.h"
+#include "rosemarywinch/interfaces/http.h"
+
+namespace rosemarywinch {
+
+/// What a server accepts from its callers.
+struct AsyncServerLimits {
+  uint64_t max_header_bytes = 16'384;
+  uint64_t max_body_bytes = 67'108'864;
+  /// From the first byte of a request to its last.
+  Duration header_timeout{3'000};
+  Duration idle_timeout{15'000};
+};
+
+/// Answers one request. The scope ends when the caller has gone.
+using AsyncHandler = std::function<asio::awaitable<HttpResponse>(
+    HttpRequest request,
+    std::shared_ptr<RequestScope> scope)>;
+
+class AsyncHttpConnection;
+
+/// HTTP/1.1 server on an io_context. Requests that a caller sends behind one
+/// another run side by side and are answered in order. Thread-safe.
+class AsyncHttpServer : public std::enable_shared_from_this<AsyncHttpServer> {
+ public:
+  AsyncHttpServer(asio::io_context& context, AsyncHandler handler)
+      : m_context(context),
+        m_strand(asio::make_strand(context.get_executor())),
+        m_handler(std::move(handler)) {}
+
+  /// Starts to accept. Errors: kBadValue, kPortInUse.
+  Result<Done> Start(const std::string& address);
+
+  void SetLimits(const AsyncServerLimits& limits);
+  AsyncServerLimits limits() const;
+
+  /// From now on each answer closes its connection.
+  void BeginClosing();
+  bool closing() const { return m_closing; }
+
+  /// Stops to accept, and closes connections as they become idle.
+  void Stop();
+
+  /// Number of requests that were read and not answered yet.
+  size_t open_requests() const { return m_open_requests; }
+
+ private:
+  friend class AsyncHttpConnection;
+
+  asio::awaitable<void> AcceptLoop();
+  void Forget(const AsyncHttpConnection* connection);
+
+  asio::io_context& m_context;
+  /// Serialises what is done with the listening socket.
+  asio::strand<asio::any_io_executor> m_strand;
+  const AsyncHandler m_handler;
+  std::unique_ptr<Tcp::acceptor> m_acceptor;
+  std::atomic<bool> m_closing{false};
+  std::atomic<size_t> m_open_requests{0};
+  mutable std::mutex m_mutex;
+  AsyncServerLimits m_limits;
+  std::map<const AsyncHttpConnection*, std::weak_ptr<AsyncHttpConnection>>
+      m_connections;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_ADAPTERS_ASYNC_ASYNC_HTTP_SERVER_H_
--- /dev/null
+++ b/include/rosemarywinch/adapters/async/frame_link.h
@@ -0,0 +1,104 @@
+#ifndef ROSEMARYWINCH_ADAPTERS_ASYNC_FRAME_LINK_H_
+#define ROSEMARYWINCH_ADAPTERS_ASYNC_FRAME_LINK_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "rosemarywinch/adapters/async/net.h"
+#include "rosemarywinch/schema/link.h"
+
+namespace rosemarywinch {
+
+/// One message on a link. Frames of one exchange carry the same number.
+struct Frame {
+  FrameType type = FrameType::kPing;
+  uint64_t exchange = 0;
+  std::string payload;
+};
+
+/// A connection between two processes of the fleet that carries frames of many
+/// exchanges at a time. Everything but Send() and Close() runs on one strand.
+/// A link on which nothing comes in, not even the answer to a ping, for
+/// kSilence is closed: the connection may have gone silent for good.
+class FrameLink : public std::enable_shared_from_this<FrameLink> {
+ public:
+  /// Called on the strand of the link for every frame but pings and pongs.
+  using OnFrame =
+      std::function<void(const std::shared_ptr<FrameLink>& link, Frame frame)>;
+  /// Called once, on the strand, when the link has ended.
+  using OnClosed = std::function<void(const std::shared_ptr<FrameLink>& link)>;
+
+  FrameLink(asio::io_context& context, OnFrame on_frame, OnClosed on_closed);
+
+  /// Takes over an accepted connection.
+  void Accept(Tcp::socket socket);
+
+  /// Connects in the background; frames sent meanwhile wait.
+  void Connect(const std::string& address);
+
+  /// Sends a frame; thread-safe. Frames of a closed link are lost.
+  void Send(Frame frame);
+
+  /// Closes the link; thread-safe.
+  void Close();
+
+  /// Tells, on the strand, whether the link was ever open.
+  bool connected() const { return m_connected; }
+
+  const asio::strand<asio::any_io_executor>& strand() const { return m_strand; }
+
+  /// Silence after which a link counts as dead.
+  static constexpr Duration kSilence{1'600};
+  static constexpr Duration kPingInterval{500};
+
+ private:
+  asio::awaitable<void> ConnectAndRun(std::string address);
+  void Begin();
+  asio::awaitable<void> ReadLoop();
+  asio::awaitable<void> WriteLoop();
+  asio::awaitable<void> WatchLoop();
+  bool TakeFrames(std::string& buffer);
+  void CloseOnStrand();
+
+  asio::strand<asio::any_io_executor> m_strand;
+  Tcp::socket m_socket;
+  const OnFrame m_on_frame;
+  OnClosed m_on_closed;
+  std::string m_outgoing;
+  asio::steady_timer m_writable;
+  std::chrono::steady_clock::time_point m_last_heard;
+  std::chrono::steady_clock::time_point m_last_used;
+  bool m_connected = false;
+  bool m_closed = false;
+};
+
+/// Accepts links on one address.
+class FrameListener {
+ public:
+  FrameListener(asio::io_context& context,
+                FrameLink::OnFrame on_frame,
+                FrameLink::OnClosed on_closed);
+
+  /// Starts to accept. Errors: kBadValue, kPortInUse.
+  Result<Done> Start(const std::string& address);
+
+ private:
+  asio::awaitable<void> AcceptLoop();
+
+  asio::io_context& m_context;
+  const FrameLink::OnFrame m_on_frame;
+  const FrameLink::OnClosed m_on_closed;
+  std::unique_ptr<Tcp::acceptor> m_acceptor;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_ADAPTERS_ASYNC_FRAME_LINK_H_
--- /dev/null
+++ b/include/rosemarywinch/adapters/async/link_client.h
@@ -0,0 +1,76 @@
+#ifndef ROSEMARYWINCH_ADAPTERS_ASYNC_LINK_CLIENT_H_
+#define ROSEMARYWINCH_ADAPTERS_ASYNC_LINK_CLIENT_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "rosemarywinch/adapters/async/frame_link.h"
+#include "rosemarywinch/adapters/async/one_shot.h"
+#include "rosemarywinch/adapters/async/request_scope.h"
+#include "rosemarywinch/core/sharded.h"
+
+namespace rosemarywinch {
+
+/// How an exchange over a link ended.
+enum class ExchangeEnd {
+  kReplied,
+  /// The other side certainly never saw the frame.
+  kNotSent,
+  /// The link ended first; the other side may have seen the frame.
+  kLinkLost,
+  kTimedOut,
+  /// The caller has gone.
+  kCallerGone,
+};
+
+struct ExchangeResult {
+  ExchangeEnd end = ExchangeEnd::kNotSent;
+  std::string payload;
+};
+
+/// Sends frames to other processes, over one link to each address. Thread-safe;
+/// links and open exchanges are kept in shards under their own locks.
+class LinkClient {
+ public:
+  explicit LinkClient(asio::io_context& context) : m_context(context) {}
+
+  /// Sends a frame and waits for the reply, for `limit` at most. A caller that
+  /// no longer waits cancels the exchange at the other side.
+  asio::awaitable<ExchangeResult> Exchange(std::string address,
+                                           FrameType type,
+                                           std::string payload,
+                                           Duration limit,
+                                           std::shared_ptr<RequestScope> scope);
+
+  /// Sends a frame without waiting; it may be lost.
+  void Post(const std::string& address, FrameType type, std::string payload);
+
+ private:
+  using Reply = OneShot<ExchangeResult>;
+  struct OpenExchange {
+    std::shared_ptr<Reply> reply;
+    const FrameLink* link = nullptr;
+  };
+  struct LinkShard {
+    std::map<std::string, std::shared_ptr<FrameLink>> links;
+  };
+  struct ExchangeShard {
+    std::map<uint64_t, OpenExchange> open;
+  };
+
+  std::shared_ptr<FrameLink> LinkTo(const std::string& address);
+  void OnFrame(Frame frame);
+  void OnClosed(const std::string& address,
+                const std::shared_ptr<FrameLink>& link);
+
+  asio::io_context& m_context;
+  std::atomic<uint64_t> m_next_exchange{1};
+  Sharded<LinkShard> m_links;
+  Sharded<ExchangeShard> m_exchanges;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_ADAPTERS_ASYNC_LINK_CLIENT_H_
--- /dev/null
+++ b/include/rosemarywinch/adapters/async/net.h
@@ -0,0 +1,43 @@
+#ifndef ROSEMARYWINCH_ADAPTERS_ASYNC_NET_H_
+#define ROSEMARYWINCH_ADAPTERS_ASYNC_NET_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
+#include <string>
+
+#include "rosemarywinch/core/error.h"
+#include "rosemarywinch/core/time.h"
+
+namespace rosemarywinch {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+/// Reads "IP:PORT"; names are not looked up. Errors: kBadValue.
+Result<Tcp::endpoint> ParseEndpoint(const std::string& address);
+
+/// Returns the IPv4 address of "IP:PORT" as a number, which names a control
+/// replica; 0 when it can't be read.
+uint32_t HostNumber(const std::string& address);
+
+/// Returns "IP:PORT" of a host that HostNumber() made a number of.
+std::string AddressOfHost(uint32_t number, uint16_t port);
+
+/// Sets what every connection needs: no delay, and an end within `silence`
+/// when the other side has gone without a word.
+void SetConnectionOptions(Tcp::socket& socket, Duration silence);
+
+/// Connects within `limit`. On failure `error` is set.
+asio::awaitable<void> Connect(Tcp::socket& socket,
+                              Tcp::endpoint endpoint,
+                              Duration limit,
+                              boost::system::error_code& error);
+
+/// Opens a listening socket. Errors: kPortInUse.
+Result<Tcp::acceptor> Listen(const asio::any_io_executor& executor,
+                             const std::string& address);
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_ADAPTERS_ASYNC_NET_H_
--- a/include/rosemarywinch/adapters/log.h
+++ b/include/rosemarywinch/adapters/log.h
@@ -14,10 +14,15 @@
   std::string value;
 };
 
+enum class LogTarget { kErrorOutput, kOutput };
+
 /// Sets the least severe level; `role` and `id` stand in every line.
-void StartLog(LogLevel level, const std::string& role, const std::string& id);
+void StartLog(LogLevel level,
+              const std::string& role,
+              const std::string& id,
+              LogTarget target = LogTarget::kErrorOutput);
 
-/// Writes one JSON line to standard error for a change of state.
+/// Writes one JSON line for a change of state.
 void LogChange(LogLevel level,
                std::string_view event,
                const std::vector<LogField>& fields = {});
--- /dev/null
+++ b/include/rosemarywinch/adapters/mesh_codec.h
@@ -0,0 +1,18 @@
+#ifndef ROSEMARYWINCH_ADAPTERS_MESH_CODEC_H_
+#define ROSEMARYWINCH_ADAPTERS_MESH_CODEC_H_
+
+#include <memory>
+#include <string>
+
+#include "rosemarywinch/decisions/mesh/mesh_config.h"
+
+namespace rosemarywinch {
+
+/// Reads and checks a configuration as an operator sent it.
+/// Errors: kMalformedMessage, kBadValue.
+Result<std::shared_ptr<const MeshConfig>> ReadMeshConfig(
+    const std::string& document);
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_ADAPTERS_MESH_CODEC_H_
--- a/include/rosemarywinch/decisions/consensus/replica.h
+++ b/include/rosemarywinch/decisions/consensus/replica.h
@@ -108,6 +108,11 @@
   /// Replaces the log up to `index` by a snapshot of the state at `index`.
   Effects Compact(uint64_t index, FleetState state);
 
+  /// Names replicas to ask for the leader while this one is no voter.
+  void AddKnownReplicas(const std::vector<uint32_t>& ids) {
+    m_known_replicas.insert(ids.begin(), ids.end());
+  }
+
   /// Tells whether this replica leads, holds the leader lease and has applied
   /// an entry of its own term. Only then may it answer for the cluster.
   bool MayServe(TimePoint now) const;
--- /dev/null
+++ b/include/rosemarywinch/decisions/mesh/mesh_config.h
@@ -0,0 +1,76 @@
+#ifndef ROSEMARYWINCH_DECISIONS_MESH_MESH_CONFIG_H_
+#define ROSEMARYWINCH_DECISIONS_MESH_MESH_CONFIG_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "rosemarywinch/core/error.h"
+#include "rosemarywinch/schema/mesh.h"
+
+namespace rosemarywinch {
+
+/// A route and the services that its requests go to.
+struct MeshRoute {
+  std::string name;
+  RouteSpec spec;
+  /// At least one part; the weights sum to more than zero.
+  std::vector<SplitPart> parts;
+
+  /// Chooses a service; `point` lies in [0, 1).
+  const std::string& ServiceAt(double point) const;
+};
+
+/// A client account by one of its keys.
+struct MeshAccount {
+  std::string name;
+  AccountSpec spec;
+};
+
+/// A configuration that passed all checks, indexed for look-ups. Immutable.
+class MeshConfig {
+ public:
+  /// Checks and indexes a configuration. Errors: kBadValue, which names the
+  /// route, service or account.
+  static Result<std::shared_ptr<const MeshConfig>> Build(
+      Configuration configuration);
+
+  /// Returns the route of `host` with the longest prefix of `path`, or null.
+  /// Complexity: linear in the number of slashes of the path.
+  const MeshRoute* FindRoute(std::string_view host,
+                             std::string_view path) const;
+
+  /// Returns the account that holds `key`, or null.
+  const MeshAccount* FindKey(const std::string& key) const;
+
+  /// Returns the account named `name`, or null.
+  const AccountSpec* FindAccount(const std::string& name) const;
+
+  bool HasService(const std::string& name) const;
+  /// Tells whether requests need a key on routes that are not open.
+  bool HasAccounts() const { return !m_configuration.accounts.empty(); }
+  uint64_t version() const { return m_configuration.version; }
+  const CallerLimits& limits() const { return m_configuration.limits; }
+  const std::map<std::string, ServiceSpec>& services() const {
+    return m_configuration.services;
+  }
+
+ private:
+  explicit MeshConfig(Configuration configuration);
+  Result<Done> AddRoutes();
+  Result<Done> AddKeys();
+
+  Configuration m_configuration;
+  std::vector<MeshRoute> m_routes;
+  /// Host name to path prefix to position in m_routes.
+  std::map<std::string, std::map<std::string, size_t, std::less<>>, std::less<>>
+      m_hosts;
+  std::unordered_map<std::string, MeshAccount> m_keys;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_DECISIONS_MESH_MESH_CONFIG_H_
--- a/include/rosemarywinch/decisions/traffic/admission_queue.h
+++ b/include/rosemarywinch/decisions/traffic/admission_queue.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
   uint32_t weight = 1;
   /// Part of a request that the fleet has already let in.
   bool nested = false;
+  /// Urgency that goes before the class, 0 first; nested calls go before all.
+  std::optional<uint32_t> rank;
   TimePoint deadline;
 };
 
@@ -86,7 +89,7 @@
     Place place;
   };
 
-  static constexpr size_t kLanes = 4;
+  static constexpr size_t kLanes = 16;
 
   static size_t LaneOf(const Ticket& ticket);
   void Enqueue(Ticket ticket);
--- a/include/rosemarywinch/decisions/traffic/retry_budget.h
+++ b/include/rosemarywinch/decisions/traffic/retry_budget.h
@@ -14,8 +14,11 @@
   /// Retries that may be saved up.
   static constexpr double kMaxSaved = 10;
 
+  explicit RetryBudget(double max_saved = kMaxSaved)
+      : m_max_saved(max_saved), m_saved(max_saved) {}
+
   /// Counts a first attempt.
-  void OnCall() { m_saved = std::min(kMaxSaved, m_saved + kRetryShare); }
+  void OnCall() { m_saved = std::min(m_max_saved, m_saved + kRetryShare); }
 
   /// Takes one retry; false when the share is used up.
   bool TryRetry() {
@@ -27,7 +30,8 @@
   }
 
  private:
-  double m_saved = kMaxSaved;
+  double m_max_saved;
+  double m_saved;
 };
 
 }  // namespace rosemarywinch
--- /dev/null
+++ b/include/rosemarywinch/interfaces/hop_channel.h
@@ -0,0 +1,29 @@
+#ifndef ROSEMARYWINCH_INTERFACES_HOP_CHANNEL_H_
+#define ROSEMARYWINCH_INTERFACES_HOP_CHANNEL_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/mesh.h"
+
+namespace rosemarywinch {
+
+class RequestScope;
+
+/// Carries a request to the node beside a backend server.
+class HopChannel {
+ public:
+  virtual ~HopChannel() = default;
+
+  /// Sends `request` to `member` and waits for what came of it, for the time
+  /// that the request has left.
+  virtual boost::asio::awaitable<HopResponse> Call(
+      Member member,
+      HopRequest request,
+      std::shared_ptr<RequestScope> scope) = 0;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_INTERFACES_HOP_CHANNEL_H_
--- a/include/rosemarywinch/interfaces/http.h
+++ b/include/rosemarywinch/interfaces/http.h
@@ -45,6 +45,8 @@
   std::string path = "/";
   /// Query without the question mark; may be empty.
   std::string query;
+  /// Path and query as they came in; empty for a request made here.
+  std::string target;
   HttpHeaders headers;
   std::string body;
 };
@@ -53,6 +55,8 @@
   int status = 200;
   HttpHeaders headers;
   std::string body;
+  /// The caller's connection is to be closed without an answer.
+  bool drop = false;
 };
 
 /// The request never left this process: it certainly did not run.
--- a/include/rosemarywinch/programs/consensus_driver.h
+++ b/include/rosemarywinch/programs/consensus_driver.h
@@ -59,6 +59,9 @@
 
   void Receive(const PeerMessage& message);
 
+  /// Names replicas that may know the leader.
+  void AddKnownReplicas(const std::vector<uint32_t>& ids);
+
   /// Told of a proposed command, under the driver's lock; must not call back.
   using SubmitDone = std::function<void(Outcome<CommandResult>)>;
 
@@ -76,14 +79,13 @@
     std::string cluster;
     uint64_t term = 0;
     std::shared_ptr<const FleetState> state;
+    /// Ids of the voting replicas.
+    std::vector<uint32_t> voters;
   };
 
   /// Reads the state as of now. Errors: kNotLeader.
   Result<LeaderView> ReadAsLeader();
 
-  /// Ids of the voting replicas.
-  std::vector<uint32_t> VoterIds();
-
   /// Fills in what a status page shows of the log.
   ControlStatus Status();
 
@@ -105,6 +107,7 @@
   void CarryOut(const consensus::RoleChanged& effect);
   void CompactIfLong();
   Error NotLeader() const;
+  std::vector<uint32_t> VoterIds() const;
   bool MayServe(TimePoint now) const;
   void LoseWaiters();
 
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -11,6 +11,7 @@
 #include "rosemarywinch/decisions/control/allowance_lender.h"
 #include "rosemarywinch/decisions/control/membership_directory.h"
 #include "rosemarywinch/decisions/control/version_ledger.h"
+#include "rosemarywinch/decisions/mesh/mesh_config.h"
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "rosemarywinch/schema/control.h"
 
@@ -65,6 +66,10 @@
   void AddMembers(TimePoint now,
                   const PollRequest& request,
                   PollResponse& response);
+  void AddConfiguration(const ConsensusDriver::LeaderView& view,
+                        const PollRequest& request,
+                        PollResponse& response);
+  AllowanceLimit LimitOf(const FleetState& state, const std::string& account);
   void AddAllowances(const ConsensusDriver::LeaderView& view,
                      const PollRequest& request,
                      PollResponse& response);
@@ -75,6 +80,9 @@
   Ledger m_ledger;
   Directory m_directory;
   Sharded<LenderShard> m_lenders;
+  std::mutex m_mesh_mutex;
+  /// The mesh configuration in place, decoded once for each version.
+  std::shared_ptr<const MeshConfig> m_mesh;
 };
 
 }  // namespace rosemarywinch
--- /dev/null
+++ b/include/rosemarywinch/programs/mesh/caller_entry.h
@@ -0,0 +1,72 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_MESH_CALLER_ENTRY_H_
+#define ROSEMARYWINCH_PROGRAMS_MESH_CALLER_ENTRY_H_
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "rosemarywinch/adapters/async/request_scope.h"
+#include "rosemarywinch/adapters/metrics.h"
+#include "rosemarywinch/interfaces/clock.h"
+#include "rosemarywinch/interfaces/hop_channel.h"
+#include "rosemarywinch/interfaces/mesh_protocol.h"
+#include "rosemarywinch/programs/mesh/mesh_view.h"
+
+namespace rosemarywinch {
+
+/// Serves what the callers on this host send: decides whether a request may
+/// run, sends it to a node beside a backend server, and sends it again where
+/// that is safe. Thread-safe.
+class CallerEntry {
+ public:
+  CallerEntry(std::string own_service,
+              MeshView& view,
+              HopChannel& hops,
+              MeshProtocol& protocol,
+              Clock& clock,
+              Metrics& metrics);
+
+  asio::awaitable<HttpResponse> Handle(HttpRequest request,
+                                       std::shared_ptr<RequestScope> scope);
+
+ private:
+  /// A request on its way through the sends.
+  struct Passage {
+    HopRequest hop;
+    const MeshRoute* route = nullptr;
+    TimePoint arrived;
+    TimePoint deadline;
+    /// Backend servers that may have been sent the request.
+    uint32_t reached = 0;
+    /// Nodes that turned the request away before that.
+    uint32_t turned_away = 0;
+    std::set<std::string> excluded;
+    HopResponse last;
+  };
+
+  asio::awaitable<HttpResponse> Admit(HttpRequest request,
+                                      CallerRequest caller,
+                                      std::shared_ptr<RequestScope> scope);
+  asio::awaitable<void> SendUntilDone(Passage& passage,
+                                      std::shared_ptr<RequestScope> scope);
+  asio::awaitable<void> SendOnce(Passage& passage,
+                                 const Member& member,
+                                 std::shared_ptr<RequestScope> scope);
+  bool MaySendAgain(const Passage& passage) const;
+  HttpResponse Finish(const Passage& passage);
+  HttpResponse Refuse(const std::string& request_id,
+                      Error error,
+                      std::optional<Duration> retry_after);
+  HttpResponse FailedAnswer(const Passage& passage);
+
+  const std::string m_own_service;
+  MeshView& m_view;
+  HopChannel& m_hops;
+  MeshProtocol& m_protocol;
+  Clock& m_clock;
+  Metrics& m_metrics;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_MESH_CALLER_ENTRY_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/mesh/hop_client.h
@@ -0,0 +1,31 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_MESH_HOP_CLIENT_H_
+#define ROSEMARYWINCH_PROGRAMS_MESH_HOP_CLIENT_H_
+
+#include <string>
+
+#include "rosemarywinch/adapters/async/link_client.h"
+#include "rosemarywinch/interfaces/hop_channel.h"
+#include "rosemarywinch/programs/mesh/backend_door.h"
+
+namespace rosemarywinch {
+
+/// Calls other nodes over links, and the own door directly. Thread-safe.
+class HopClient : public HopChannel {
+ public:
+  HopClient(std::string node, BackendDoor& door, LinkClient& links)
+      : m_node(std::move(node)), m_door(door), m_links(links) {}
+
+  asio::awaitable<HopResponse> Call(
+      Member member,
+      HopRequest request,
+      std::shared_ptr<RequestScope> scope) override;
+
+ private:
+  const std::string m_node;
+  BackendDoor& m_door;
+  LinkClient& m_links;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_MESH_HOP_CLIENT_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/mesh/mesh_poller.h
@@ -0,0 +1,75 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_MESH_MESH_POLLER_H_
+#define ROSEMARYWINCH_PROGRAMS_MESH_MESH_POLLER_H_
+
+#include <atomic>
+#include <boost/asio/strand.hpp>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/adapters/async/link_client.h"
+#include "rosemarywinch/interfaces/clock.h"
+#include "rosemarywinch/programs/mesh/backend_door.h"
+#include "rosemarywinch/programs/mesh/mesh_view.h"
+
+namespace rosemarywinch {
+
+/// Polls the leader of control, wherever it is, at every interval and sooner
+/// when something is urgent. Thread-safe.
+class MeshPoller {
+ public:
+  struct Options {
+    std::string node;
+    std::string data_centre;
+    std::string peer_address;
+    uint16_t control_port = 0;
+    Duration interval{500};
+  };
+
+  MeshPoller(asio::io_context& context,
+             Options options,
+             MeshView& view,
+             BackendDoor& door,
+             LinkClient& links,
+             Clock& clock);
+
+  void Start();
+
+  /// Sets the addresses of control replicas that the settings name.
+  void SetSeeds(const std::vector<std::string>& addresses);
+
+  /// Asks for a poll before the interval is over; thread-safe.
+  void Poke();
+
+  /// Reports this node as leaving from now on.
+  void BeginLeaving();
+
+ private:
+  asio::awaitable<void> PollLoop();
+  asio::awaitable<bool> PollOnce(uint32_t replica);
+  PollRequest MakeRequest();
+  std::vector<uint32_t> Candidates();
+  void NoteReachable(bool reachable, const std::string& why);
+
+  const Options m_options;
+  MeshView& m_view;
+  BackendDoor& m_door;
+  LinkClient& m_links;
+  Clock& m_clock;
+  asio::strand<asio::any_io_executor> m_strand;
+  asio::steady_timer m_timer;
+  std::atomic<bool> m_urgent{false};
+  std::atomic<bool> m_leaving{false};
+  std::mutex m_mutex;
+  std::set<uint32_t> m_seeds;
+  std::set<uint32_t> m_replicas;
+  uint32_t m_leader = 0;
+  uint64_t m_sequence = 0;
+  bool m_reachable = false;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_MESH_MESH_POLLER_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -0,0 +1,110 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_MESH_MESH_VIEW_H_
+#define ROSEMARYWINCH_PROGRAMS_MESH_MESH_VIEW_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rosemarywinch/adapters/async/one_shot.h"
+#include "rosemarywinch/core/sharded.h"
+#include "rosemarywinch/decisions/control/allowance_bucket.h"
+#include "rosemarywinch/decisions/mesh/entry_check.h"
+#include "rosemarywinch/decisions/traffic/retry_budget.h"
+#include "rosemarywinch/decisions/traffic/router.h"
+#include "rosemarywinch/interfaces/clock.h"
+#include "rosemarywinch/interfaces/random.h"
+#include "rosemarywinch/schema/control.h"
+
+namespace rosemarywinch {
+
+/// What a node knows of the mesh: the configuration and how fresh it is, the
+/// members of each service, and its shares of the accounts' allowances.
+/// Thread-safe; each part is a shard under its own lock.
+class MeshView {
+ public:
+  MeshView(std::string data_centre, Clock& clock, Random& random);
+
+  /// What CheckEntry() needs. `config` lives as long as the result.
+  struct Facts {
+    std::shared_ptr<const MeshConfig> config;
+    EntryFacts facts;
+  };
+  Facts CurrentFacts() const;
+
+  /// Tells whether requests with keys can be served.
+  bool IsReady() const;
+
+  /// Fills in what control must know to answer.
+  void FillPoll(PollRequest& request);
+
+  /// Applies an answer to a poll that was sent at `sent`; older answers and
+  /// configurations are passed over. Errors: kMalformedMessage, kBadValue.
+  Result<Done> ApplyPoll(TimePoint sent, const PollResponse& response);
+
+  /// Counts a request of `account` and takes its token, waiting a little for
+  /// control to lend more. Returns how long to wait when there is none.
+  asio::awaitable<std::optional<Duration>> TakeAllowance(std::string account);
+
+  /// Chooses a member of `service` that is not in `excluded`.
+  std::optional<Member> Choose(const std::string& service,
+                               const std::set<std::string>& excluded);
+  void FinishCall(const std::string& service,
+                  const std::string& node,
+                  CallResult result,
+                  Duration took);
+
+  /// Counts a request for `service` that a retry may be earned by.
+  void CountRequest(const std::string& service);
+  /// Takes a retry of the service's budget, if there is one left.
+  bool TryRetry(const std::string& service);
+
+  /// Chooses a part of a route's split.
+  std::string ServiceOf(const MeshRoute& route);
+
+  /// Sets what is called when the next poll should not wait.
+  void OnUrgent(std::function<void()> poke) { m_poke = std::move(poke); }
+
+ private:
+  struct ServiceShard {
+    std::map<std::string, Router> routers;
+    std::map<std::string, RetryBudget> budgets;
+  };
+  struct AccountShard {
+    std::map<std::string, AllowanceBucket> buckets;
+  };
+  struct Known {
+    std::string cluster;
+    uint64_t term = 0;
+    uint64_t fleet_version = 0;
+    std::shared_ptr<const MeshConfig> config;
+    TimePoint lease_end;
+    TimePoint confirmed;
+  };
+
+  Result<Done> ApplyConfiguration(TimePoint sent,
+                                  const PollResponse& response);
+  void ApplyMembers(const PollResponse& response);
+  void ApplyAllowances(TimePoint lease_end, const PollResponse& response);
+  bool TryTake(const std::string& account, bool first);
+  void TellNews();
+
+  const std::string m_data_centre;
+  Clock& m_clock;
+  Random& m_random;
+  std::function<void()> m_poke;
+  mutable std::mutex m_mutex;
+  Known m_known;
+  Sharded<ServiceShard> m_services;
+  Sharded<AccountShard> m_accounts;
+  std::mutex m_news_mutex;
+  std::vector<std::shared_ptr<OneShot<bool>>> m_news;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_MESH_MESH_VIEW_H_
--- /dev/null
+++ b/include/rosemarywinch/programs/mesh/seed_watch.h
@@ -0,0 +1,48 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_MESH_SEED_WATCH_H_
+#define ROSEMARYWINCH_PROGRAMS_MESH_SEED_WATCH_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace rosemarywinch {
+
+namespace asio = boost::asio;
+
+/// Splits "a,b,c"; empty parts are left out.
+std::vector<std::string> SplitList(const std::string& text);
+
+/// Reads the seeds again on SIGHUP, and now and then without it, and tells
+/// when they have changed.
+class SeedWatch {
+ public:
+  using Told = std::function<void(const std::vector<std::string>& seeds)>;
+
+  SeedWatch(asio::io_context& context,
+            std::string file,
+            std::string seeds,
+            Told told);
+
+  /// Tells the first seeds and starts to watch.
+  void Start();
+
+ private:
+  void WaitForSignal();
+  void WaitForTimer();
+  void Read(const char* cause);
+
+  asio::strand<asio::any_io_executor> m_strand;
+  asio::signal_set m_signals;
+  asio::steady_timer m_timer;
+  const std::string m_file;
+  std::string m_seeds;
+  const Told m_told;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_MESH_SEED_WATCH_H_
--- a/include/rosemarywinch/programs/settings_reader.h
+++ b/include/rosemarywinch/programs/settings_reader.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,9 @@
   /// Errors: kUnknownSetting, kBadValue, kSettingsFile, kMissingSetting.
   std::vector<Error> Apply(const std::map<std::string, std::string>& env);
 
+  /// Settings file that was read; empty for none.
+  const std::string& file() const { return m_file; }
+
   /// Names a field that must not be empty.
   void Require(const std::string& name) { m_required.push_back(name); }
 
@@ -67,6 +71,13 @@
   std::vector<Error> m_errors;
 };
 
+/// Reads one setting of a settings file, or nothing when it is not there.
+std::optional<std::string> ReadFileSetting(const std::string& path,
+                                           const std::string& name);
+
+/// Returns the path of the settings file that the environment names, if any.
+std::string SettingsFileOf(const std::map<std::string, std::string>& env);
+
 /// Returns the environment of this process.
 std::map<std::string, std::string> ReadEnvironment();
 
--- /dev/null
+++ b/src/adapters/async/async_http_connection.cc
@@ -0,0 +1,296 @@
+#include "rosemarywinch/adapters/async/async_http_connection.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <exception>
+#include <utility>
+
+namespace rosemarywinch {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+// A body may take this long to come in.
+constexpr Duration kBodyTimeout{60'000};
+// Requests that may run at a time for one connection.
+constexpr size_t kMaxPipelined = 16;
+// Bytes that are read ahead while requests run.
+constexpr size_t kMaxReadAhead = 65'536;
+// Unread answers keep a connection for this long.
+constexpr Duration kSilence{5'000};
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
+constexpr int kServerError = 500;
+constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+int StatusOf(error_code error) {
+  if (error == http::error::body_limit) {
+    return kBodyTooLarge;
+  }
+  return error == http::error::header_limit ? kHeadersTooLarge : kBadRequest;
+}
+
+std::chrono::milliseconds ToChrono(Duration length) {
+  return std::chrono::milliseconds(length.ms);
+}
+
+}  // namespace
+
+AsyncHttpConnection::AsyncHttpConnection(
+    std::shared_ptr<AsyncHttpServer> server,
+    Tcp::socket socket)
+    : m_server(std::move(server)),
+      m_strand(asio::make_strand(socket.get_executor())),
+      m_socket(std::move(socket)),
+      m_limits(m_server->limits()),
+      m_changed(m_strand, SteadyClock::time_point::max()),
+      m_last_activity(SteadyClock::now()) {
+  SetConnectionOptions(m_socket, kSilence);
+  NewParser();
+}
+
+void AsyncHttpConnection::Start() {
+  const auto self = shared_from_this();
+  const auto spawn = [&](auto loop) {
+    asio::co_spawn(
+        m_strand, [self, loop] { return ((*self).*loop)(); }, asio::detached);
+  };
+  spawn(&AsyncHttpConnection::ReadLoop);
+  spawn(&AsyncHttpConnection::ParseLoop);
+  spawn(&AsyncHttpConnection::WriteLoop);
+  spawn(&AsyncHttpConnection::WatchLoop);
+}
+
+void AsyncHttpConnection::CloseWhenIdle() {
+  asio::post(m_strand, [self = shared_from_this()] {
+    const bool idle = self->m_exchanges.empty() && !self->m_partial &&
+                      self->m_buffer.size() == 0;
+    if (idle) {
+      self->Close();
+    }
+  });
+}
+
+void AsyncHttpConnection::NewParser() {
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->header_limit(static_cast<uint32_t>(m_limits.max_header_bytes));
+  m_parser->body_limit(m_limits.max_body_bytes);
+  m_partial = false;
+  m_continue_wanted = false;
+}
+
+void AsyncHttpConnection::Wake() {
+  m_changed.cancel();
+}
+
+// The timer never expires: waiting loops go on when Wake() cancels it.
+asio::awaitable<void> AsyncHttpConnection::WaitForChange() {
+  error_code ignored;
+  co_await m_changed.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> AsyncHttpConnection::ReadLoop() {
+  while (!m_closed) {
+    if (m_buffer.size() >= kMaxReadAhead) {
+      co_await WaitForChange();
+      continue;
+    }
+    error_code error;
+    const size_t count = co_await m_socket.async_read_some(
+        asio::buffer(m_chunk),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      Close();
+      co_return;
+    }
+    m_buffer.commit(asio::buffer_copy(m_buffer.prepare(count),
+                                      asio::buffer(m_chunk, count)));
+    m_last_activity = SteadyClock::now();
+    Wake();
+  }
+}
+
+asio::awaitable<void> AsyncHttpConnection::ParseLoop() {
+  while (!m_closed) {
+    const bool may_parse = !m_last_request && m_buffer.size() > 0 &&
+                           m_exchanges.size() < kMaxPipelined;
+    if (may_parse && ParseSome()) {
+      continue;
+    }
+    if (m_continue_wanted) {
+      m_continue_wanted = false;
+      error_code ignored;
+      co_await asio::async_write(
+          m_socket, asio::buffer(kContinue, sizeof(kContinue) - 1),
+          asio::redirect_error(asio::use_awaitable, ignored));
+      continue;
+    }
+    co_await WaitForChange();
+  }
+}
+
+// Feeds the parser. Returns whether it made progress.
+bool AsyncHttpConnection::ParseSome() {
+  if (!m_partial) {
+    m_partial = true;
+    m_request_began = SteadyClock::now();
+  }
+  const bool had_header = m_parser->is_header_done();
+  error_code error;
+  const size_t used = m_parser->put(m_buffer.data(), error);
+  m_buffer.consume(used);
+  if (error && error != http::error::need_more) {
+    RefuseInput(StatusOf(error));
+    return false;
+  }
+  if (m_parser->is_done()) {
+    BeastRequest message = m_parser->release();
+    NewParser();
+    Dispatch(std::move(message));
+    return true;
+  }
+  if (!had_header && m_parser->is_header_done()) {
+    m_continue_wanted = m_exchanges.empty() &&
+                        m_parser->get()[http::field::expect] == "100-continue";
+  }
+  return used > 0;
+}
+
+void AsyncHttpConnection::Dispatch(BeastRequest message) {
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->head = message.method() == http::verb::head;
+  m_last_request = !message.keep_alive();
+  m_exchanges.push_back(exchange);
+  ++m_server->m_open_requests;
+  asio::co_spawn(
+      m_strand,
+      [self = shared_from_this(), exchange,
+       request = FromBeast(std::move(message))]() mutable {
+        return self->Run(exchange, std::move(request));
+      },
+      asio::detached);
+}
+
+asio::awaitable<void> AsyncHttpConnection::Run(
+    std::shared_ptr<Exchange> exchange,
+    HttpRequest request) {
+  HttpResponse response;
+  try {
+    response =
+        co_await m_server->m_handler(std::move(request), exchange->scope);
+  } catch (const std::exception&) {
+    response.status = kServerError;
+  }
+  exchange->response = std::move(response);
+  Wake();
+}
+
+void AsyncHttpConnection::RefuseInput(int status) {
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->response = HttpResponse{status, {}, "", false};
+  ++m_server->m_open_requests;
+  m_exchanges.push_back(exchange);
+  m_last_request = true;
+  m_partial = false;
+  Wake();
+}
+
+asio::awaitable<void> AsyncHttpConnection::WriteLoop() {
+  while (!m_closed) {
+    if (m_exchanges.empty() || !m_exchanges.front()->response) {
+      co_await WaitForChange();
+      continue;
+    }
+    const auto exchange = m_exchanges.front();
+    if (exchange->response->drop) {
+      Close();
+      co_return;
+    }
+    // Requests that were read behind this one run already: the connection
+    // closes only after the last of them is answered.
+    if (m_server->closing()) {
+      m_last_request = true;
+    }
+    const bool close = m_last_request && m_exchanges.size() == 1;
+    const std::string text =
+        AnswerText(*exchange->response, {close, exchange->head});
+    error_code error;
+    co_await asio::async_write(
+        m_socket, asio::buffer(text),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (m_closed) {
+      co_return;
+    }
+    m_exchanges.pop_front();
+    --m_server->m_open_requests;
+    m_last_activity = SteadyClock::now();
+    if (error || close) {
+      Close();
+      co_return;
+    }
+    Wake();
+  }
+}
+
+std::optional<SteadyClock::time_point> AsyncHttpConnection::QuietDeadline()
+    const {
+  if (m_partial) {
+    const Duration limit =
+        m_parser->is_header_done() ? kBodyTimeout : m_limits.header_timeout;
+    return m_request_began + ToChrono(limit);
+  }
+  if (m_exchanges.empty()) {
+    return m_last_activity + ToChrono(m_limits.idle_timeout);
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<void> AsyncHttpConnection::WatchLoop() {
+  asio::steady_timer timer(m_strand);
+  while (!m_closed) {
+    const auto due = QuietDeadline();
+    if (due && SteadyClock::now() >= *due) {
+      if (!m_partial) {
+        Close();
+        co_return;
+      }
+      RefuseInput(kRequestTimeout);
+    }
+    const auto pause = ToChrono(m_limits.header_timeout);
+    timer.expires_at(due ? std::max(*due, SteadyClock::now())
+                         : SteadyClock::now() + pause);
+    error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+void AsyncHttpConnection::Close() {
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  error_code ignored;
+  m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  m_socket.close(ignored);
+  for (const auto& exchange : m_exchanges) {
+    exchange->scope->End();
+    --m_server->m_open_requests;
+  }
+  m_exchanges.clear();
+  m_server->Forget(this);
+  Wake();
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/adapters/async/frame_link.cc
@@ -0,0 +1,264 @@
+#include "rosemarywinch/adapters/async/frame_link.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <cstring>
+#include <utility>
+
+namespace rosemarywinch {
+
+namespace {
+
+using boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+// Length of the payload, type and exchange, in the byte order of the hosts.
+constexpr size_t kHeaderBytes =
+    sizeof(uint32_t) + sizeof(uint8_t) + sizeof(uint64_t);
+// Larger than the largest body with its headers.
+constexpr uint32_t kMaxPayload = 80u << 20;
+constexpr size_t kReadBytes = 16'384;
+constexpr Duration kConnectLimit{800};
+constexpr Duration kOwnDelay{400};
+// A link that nobody uses any more sends no pings.
+constexpr Duration kPingAfterUse{10'000};
+constexpr std::chrono::milliseconds kAcceptPause{20};
+
+std::chrono::milliseconds ToChrono(Duration length) {
+  return std::chrono::milliseconds(length.ms);
+}
+
+std::string FrameText(const Frame& frame) {
+  std::string text(kHeaderBytes, '\0');
+  const auto length = static_cast<uint32_t>(frame.payload.size());
+  std::memcpy(text.data(), &length, sizeof(length));
+  text[sizeof(length)] = static_cast<char>(frame.type);
+  std::memcpy(text.data() + sizeof(length) + 1, &frame.exchange,
+              sizeof(frame.exchange));
+  return text + frame.payload;
+}
+
+}  // namespace
+
+FrameLink::FrameLink(asio::io_context& context,
+                     OnFrame on_frame,
+                     OnClosed on_closed)
+    : m_strand(asio::make_strand(context.get_executor())),
+      m_socket(m_strand),
+      m_on_frame(std::move(on_frame)),
+      m_on_closed(std::move(on_closed)),
+      m_writable(m_strand, SteadyClock::time_point::max()),
+      m_last_heard(SteadyClock::now()),
+      m_last_used(SteadyClock::now()) {}
+
+void FrameLink::Accept(Tcp::socket socket) {
+  asio::post(m_strand, [self = shared_from_this(),
+                        socket = std::make_shared<Tcp::socket>(
+                            std::move(socket))]() mutable {
+    self->m_socket = std::move(*socket);
+    self->Begin();
+  });
+}
+
+void FrameLink::Connect(const std::string& address) {
+  asio::co_spawn(
+      m_strand,
+      [self = shared_from_this(), address] {
+        return self->ConnectAndRun(address);
+      },
+      asio::detached);
+}
+
+void FrameLink::Send(Frame frame) {
+  asio::post(m_strand,
+             [self = shared_from_this(), text = FrameText(frame)] {
+               self->m_outgoing += text;
+               self->m_last_used = SteadyClock::now();
+               self->m_writable.cancel();
+             });
+}
+
+void FrameLink::Close() {
+  asio::post(m_strand,
+             [self = shared_from_this()] { self->CloseOnStrand(); });
+}
+
+asio::awaitable<void> FrameLink::ConnectAndRun(std::string address) {
+  const Outcome<Tcp::endpoint> endpoint =
+      Capture([&] { return ParseEndpoint(address); });
+  const auto* target = std::get_if<Tcp::endpoint>(&endpoint);
+  if (target == nullptr) {
+    CloseOnStrand();
+    co_return;
+  }
+  error_code error;
+  co_await rosemarywinch::Connect(m_socket, *target, kConnectLimit, error);
+  if (error || m_closed) {
+    CloseOnStrand();
+    co_return;
+  }
+  Begin();
+}
+
+void FrameLink::Begin() {
+  m_connected = true;
+  SetConnectionOptions(m_socket, kSilence);
+  m_last_heard = SteadyClock::now();
+  const auto self = shared_from_this();
+  const auto spawn = [&](auto loop) {
+    asio::co_spawn(
+        m_strand, [self, loop] { return ((*self).*loop)(); }, asio::detached);
+  };
+  spawn(&FrameLink::ReadLoop);
+  spawn(&FrameLink::WriteLoop);
+  spawn(&FrameLink::WatchLoop);
+}
+
+asio::awaitable<void> FrameLink::ReadLoop() {
+  std::string buffer;
+  std::array<char, kReadBytes> chunk;
+  while (!m_closed) {
+    error_code error;
+    const size_t count = co_await m_socket.async_read_some(
+        asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      break;
+    }
+    m_last_heard = SteadyClock::now();
+    buffer.append(chunk.data(), count);
+    if (!TakeFrames(buffer)) {
+      break;
+    }
+  }
+  CloseOnStrand();
+}
+
+// Handles the whole frames at the start of `buffer`. Returns false when the
+// other side doesn't speak this protocol.
+bool FrameLink::TakeFrames(std::string& buffer) {
+  size_t used = 0;
+  while (buffer.size() - used >= kHeaderBytes) {
+    const char* at = buffer.data() + used;
+    uint32_t length = 0;
+    std::memcpy(&length, at, sizeof(length));
+    if (length > kMaxPayload) {
+      return false;
+    }
+    if (buffer.size() - used < kHeaderBytes + length) {
+      break;
+    }
+    Frame frame;
+    frame.type = static_cast<FrameType>(at[sizeof(length)]);
+    std::memcpy(&frame.exchange, at + sizeof(length) + 1,
+                sizeof(frame.exchange));
+    frame.payload.assign(at + kHeaderBytes, length);
+    used += kHeaderBytes + length;
+    if (frame.type == FrameType::kPing) {
+      m_outgoing += FrameText({FrameType::kPong, frame.exchange, ""});
+      m_writable.cancel();
+    } else if (frame.type != FrameType::kPong) {
+      m_on_frame(shared_from_this(), std::move(frame));
+    }
+  }
+  buffer.erase(0, used);
+  return true;
+}
+
+asio::awaitable<void> FrameLink::WriteLoop() {
+  while (!m_closed) {
+    if (m_outgoing.empty()) {
+      error_code ignored;
+      co_await m_writable.async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+      continue;
+    }
+    const std::string text = std::exchange(m_outgoing, {});
+    error_code error;
+    co_await asio::async_write(
+        m_socket, asio::buffer(text),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      break;
+    }
+  }
+  CloseOnStrand();
+}
+
+asio::awaitable<void> FrameLink::WatchLoop() {
+  asio::steady_timer timer(m_strand, SteadyClock::now());
+  while (!m_closed) {
+    const auto now = SteadyClock::now();
+    // This process itself stood still: the silence says nothing of the peer.
+    if (now >= timer.expiry() + ToChrono(kOwnDelay)) {
+      m_last_heard = now;
+    }
+    const bool used = now < m_last_used + ToChrono(kPingAfterUse);
+    if (used && now >= m_last_heard + ToChrono(kSilence)) {
+      break;
+    }
+    if (used && now >= m_last_heard + ToChrono(kPingInterval)) {
+      m_outgoing += FrameText({FrameType::kPing, 0, ""});
+      m_writable.cancel();
+    } else if (!used) {
+      m_last_heard = now;
+    }
+    timer.expires_after(ToChrono(kPingInterval));
+    error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  CloseOnStrand();
+}
+
+void FrameLink::CloseOnStrand() {
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  error_code ignored;
+  m_socket.close(ignored);
+  m_writable.cancel();
+  if (const OnClosed told = std::exchange(m_on_closed, nullptr)) {
+    told(shared_from_this());
+  }
+}
+
+FrameListener::FrameListener(asio::io_context& context,
+                             FrameLink::OnFrame on_frame,
+                             FrameLink::OnClosed on_closed)
+    : m_context(context),
+      m_on_frame(std::move(on_frame)),
+      m_on_closed(std::move(on_closed)) {}
+
+Result<Done> FrameListener::Start(const std::string& address) {
+  BOOST_LEAF_AUTO(acceptor, Listen(m_context.get_executor(), address));
+  m_acceptor = std::make_unique<Tcp::acceptor>(std::move(acceptor));
+  asio::co_spawn(
+      m_context, [this] { return AcceptLoop(); }, asio::detached);
+  return Done{};
+}
+
+asio::awaitable<void> FrameListener::AcceptLoop() {
+  asio::steady_timer pause(m_context);
+  while (true) {
+    error_code error;
+    Tcp::socket socket = co_await m_acceptor->async_accept(
+        m_context.get_executor(),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    std::make_shared<FrameLink>(m_context, m_on_frame, m_on_closed)
+        ->Accept(std::move(socket));
+  }
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/adapters/async/http_text.cc
@@ -0,0 +1,122 @@
+#include "rosemarywinch/adapters/async/http_text.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+#include <utility>
+
+namespace rosemarywinch {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+template <typename Fields>
+HttpHeaders HeadersOf(const Fields& fields) {
+  HttpHeaders headers;
+  for (const auto& field : fields) {
+    headers.Add(std::string(field.name_string()), std::string(field.value()));
+  }
+  return headers;
+}
+
+// Headers that concern one connection, besides those that `Connection` names.
+constexpr std::array<std::string_view, 9> kHopHeaders{
+    "Connection", "Content-Length", "Expect",
+    "Keep-Alive", "Proxy-Connection", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade"};
+
+bool IsHopHeader(std::string_view name) {
+  return std::any_of(
+      kHopHeaders.begin(), kHopHeaders.end(),
+      [&](std::string_view other) { return SameHeaderName(name, other); });
+}
+
+bool IsNamedBy(const std::string* connection, std::string_view name) {
+  if (connection == nullptr) {
+    return false;
+  }
+  const http::token_list tokens(*connection);
+  return std::any_of(tokens.begin(), tokens.end(), [&](const auto& token) {
+    return SameHeaderName({token.data(), token.size()}, name);
+  });
+}
+
+void AppendHeaders(std::string& text, const HttpHeaders& headers) {
+  const std::string* connection = headers.Find("Connection");
+  for (const HttpHeader& header : headers.all()) {
+    if (!IsHopHeader(header.name) && !IsNamedBy(connection, header.name)) {
+      text += header.name + ": " + header.value + "\r\n";
+    }
+  }
+}
+
+bool NeverHasBody(int status) {
+  return status == kNoContent || status == kNotModified;
+}
+
+}  // namespace
+
+HttpRequest FromBeast(BeastRequest message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  const size_t mark = request.target.find('?');
+  request.path = request.target.substr(0, mark);
+  if (mark != std::string::npos) {
+    request.query = request.target.substr(mark + 1);
+  }
+  request.headers = HeadersOf(message);
+  request.body = std::move(message.body());
+  return request;
+}
+
+HttpResponse FromBeast(BeastResponse message) {
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  response.headers = HeadersOf(message);
+  response.body = std::move(message.body());
+  return response;
+}
+
+std::string AnswerText(const HttpResponse& response, AnswerFraming framing) {
+  const auto reason =
+      http::obsolete_reason(static_cast<http::status>(response.status));
+  std::string text = "HTTP/1.1 " + std::to_string(response.status) + " " +
+                     std::string(reason) + "\r\n";
+  AppendHeaders(text, response.headers);
+  if (framing.close) {
+    text += "Connection: close\r\n";
+  }
+  if (!NeverHasBody(response.status)) {
+    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+  }
+  text += "\r\n";
+  if (!framing.head && !NeverHasBody(response.status)) {
+    text += response.body;
+  }
+  return text;
+}
+
+std::string RequestText(const HttpRequest& request) {
+  std::string text = request.method + " ";
+  if (!request.target.empty()) {
+    text += request.target;
+  } else {
+    text += request.path + (request.query.empty() ? "" : "?" + request.query);
+  }
+  text += " HTTP/1.1\r\n";
+  AppendHeaders(text, request.headers);
+  const bool bare = request.body.empty() &&
+                    (request.method == "GET" || request.method == "HEAD");
+  if (!bare) {
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  return text + "\r\n" + request.body;
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/adapters/async/link_client.cc
@@ -0,0 +1,108 @@
+#include "rosemarywinch/adapters/async/link_client.h"
+
+#include <utility>
+#include <vector>
+
+namespace rosemarywinch {
+
+namespace {
+
+std::string ShardKey(uint64_t exchange) {
+  return std::to_string(exchange);
+}
+
+}  // namespace
+
+asio::awaitable<ExchangeResult> LinkClient::Exchange(
+    std::string address,
+    FrameType type,
+    std::string payload,
+    Duration limit,
+    std::shared_ptr<RequestScope> scope) {
+  const uint64_t exchange = m_next_exchange++;
+  const auto reply =
+      std::make_shared<Reply>(co_await asio::this_coro::executor);
+  const std::shared_ptr<FrameLink> link = LinkTo(address);
+  m_exchanges.With(ShardKey(exchange), [&](ExchangeShard& shard) {
+    shard.open[exchange] = {reply, link.get()};
+  });
+  const ScopeWatch watch(scope, [reply] {
+    reply->Set({ExchangeEnd::kCallerGone, ""});
+  });
+  link->Send({type, exchange, std::move(payload)});
+  std::optional<ExchangeResult> result = co_await reply->Wait(limit);
+  m_exchanges.With(ShardKey(exchange), [&](ExchangeShard& shard) {
+    shard.open.erase(exchange);
+  });
+  if (!result) {
+    result = ExchangeResult{ExchangeEnd::kTimedOut, ""};
+  }
+  const bool unanswered = result->end == ExchangeEnd::kTimedOut ||
+                          result->end == ExchangeEnd::kCallerGone;
+  if (unanswered) {
+    link->Send({FrameType::kCancel, exchange, ""});
+  }
+  co_return std::move(*result);
+}
+
+void LinkClient::Post(const std::string& address,
+                      FrameType type,
+                      std::string payload) {
+  LinkTo(address)->Send({type, 0, std::move(payload)});
+}
+
+std::shared_ptr<FrameLink> LinkClient::LinkTo(const std::string& address) {
+  return m_links.With(address, [&](LinkShard& shard) {
+    std::shared_ptr<FrameLink>& link = shard.links[address];
+    if (link == nullptr) {
+      link = std::make_shared<FrameLink>(
+          m_context,
+          [this](const std::shared_ptr<FrameLink>&, Frame frame) {
+            OnFrame(std::move(frame));
+          },
+          [this, address](const std::shared_ptr<FrameLink>& closed) {
+            OnClosed(address, closed);
+          });
+      link->Connect(address);
+    }
+    return link;
+  });
+}
+
+void LinkClient::OnFrame(Frame frame) {
+  std::shared_ptr<Reply> reply;
+  m_exchanges.With(ShardKey(frame.exchange), [&](ExchangeShard& shard) {
+    const auto found = shard.open.find(frame.exchange);
+    if (found != shard.open.end()) {
+      reply = found->second.reply;
+    }
+  });
+  if (reply != nullptr) {
+    reply->Set({ExchangeEnd::kReplied, std::move(frame.payload)});
+  }
+}
+
+void LinkClient::OnClosed(const std::string& address,
+                          const std::shared_ptr<FrameLink>& link) {
+  m_links.With(address, [&](LinkShard& shard) {
+    const auto found = shard.links.find(address);
+    if (found != shard.links.end() && found->second == link) {
+      shard.links.erase(found);
+    }
+  });
+  std::vector<std::shared_ptr<Reply>> cut;
+  m_exchanges.ForEach([&](ExchangeShard& shard) {
+    for (const auto& [number, open] : shard.open) {
+      if (open.link == link.get()) {
+        cut.push_back(open.reply);
+      }
+    }
+  });
+  const ExchangeEnd end =
+      link->connected() ? ExchangeEnd::kLinkLost : ExchangeEnd::kNotSent;
+  for (const auto& reply : cut) {
+    reply->Set({end, ""});
+  }
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/adapters/async/net.cc
@@ -0,0 +1,103 @@
+#include "rosemarywinch/adapters/async/net.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <chrono>
+#include <memory>
+
+namespace rosemarywinch {
+
+namespace {
+
+using boost::system::error_code;
+
+constexpr int kListenBacklog = 1024;
+constexpr int kKeepAliveProbes = 2;
+
+template <int kName>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
+
+}  // namespace
+
+Result<Tcp::endpoint> ParseEndpoint(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  error_code error;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+  uint16_t port = 0;
+  if (colon != std::string::npos) {
+    const char* end = address.data() + address.size();
+    std::from_chars(address.data() + colon + 1, end, port);
+  }
+  if (error || colon == std::string::npos) {
+    return Fail(ErrorId::kBadValue, "address " + address + ", want IP:PORT");
+  }
+  return Tcp::endpoint(ip, port);
+}
+
+uint32_t HostNumber(const std::string& address) {
+  error_code error;
+  const auto ip = asio::ip::make_address_v4(
+      address.substr(0, address.rfind(':')), error);
+  return error ? 0 : ip.to_uint();
+}
+
+std::string AddressOfHost(uint32_t number, uint16_t port) {
+  return asio::ip::address_v4(number).to_string() + ":" + std::to_string(port);
+}
+
+void SetConnectionOptions(Tcp::socket& socket, Duration silence) {
+  // A connection that refuses an option still works, so failures are ignored.
+  error_code ignored;
+  const int seconds = static_cast<int>(std::max<int64_t>(1, silence.ms / 2000));
+  socket.set_option(Tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(TcpOption<TCP_KEEPIDLE>(seconds), ignored);
+  socket.set_option(TcpOption<TCP_KEEPINTVL>(seconds), ignored);
+  socket.set_option(TcpOption<TCP_KEEPCNT>(kKeepAliveProbes), ignored);
+  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(silence.ms)),
+                    ignored);
+}
+
+asio::awaitable<void> Connect(Tcp::socket& socket,
+                              Tcp::endpoint endpoint,
+                              Duration limit,
+                              error_code& error) {
+  const auto executor = co_await asio::this_coro::executor;
+  const auto expired = std::make_shared<bool>(false);
+  asio::steady_timer timer(executor);
+  timer.expires_after(std::chrono::milliseconds(limit.ms));
+  timer.async_wait([&socket, expired](error_code cancelled) {
+    if (!cancelled && !*expired) {
+      error_code ignored;
+      socket.close(ignored);
+    }
+  });
+  co_await socket.async_connect(
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
+  // The handler must not touch the socket after this coroutine has ended.
+  *expired = true;
+  timer.cancel();
+}
+
+Result<Tcp::acceptor> Listen(const asio::any_io_executor& executor,
+                             const std::string& address) {
+  BOOST_LEAF_AUTO(endpoint, ParseEndpoint(address));
+  Tcp::acceptor acceptor(executor);
+  error_code error;
+  acceptor.open(endpoint.protocol(), error);
+  acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  acceptor.bind(endpoint, error);
+  if (!error) {
+    acceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    return Fail(ErrorId::kPortInUse, address + ": " + error.message());
+  }
+  return acceptor;
+}
+
+}  // namespace rosemarywinch
--- a/src/adapters/log.cc
+++ b/src/adapters/log.cc
@@ -35,10 +35,19 @@
 
 }  // namespace
 
-void StartLog(LogLevel level, const std::string& role, const std::string& id) {
+void StartLog(LogLevel level,
+              const std::string& role,
+              const std::string& id,
+              LogTarget target) {
   Identity() = {role, id};
-  auto logger = std::make_shared<spdlog::logger>(
-      "rosemarywinch", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  spdlog::sink_ptr sink;
+  if (target == LogTarget::kOutput) {
+    sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  } else {
+    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  }
+  auto logger =
+      std::make_shared<spdlog::logger>("rosemarywinch", std::move(sink));
   logger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",%v}",
                       spdlog::pattern_time_type::utc);
   logger->set_level(SpdlogLevel(level));
--- /dev/null
+++ b/src/adapters/mesh_codec.cc
@@ -0,0 +1,14 @@
+#include "rosemarywinch/adapters/mesh_codec.h"
+
+#include "rosemarywinch/adapters/json_codec.h"
+
+namespace rosemarywinch {
+
+Result<std::shared_ptr<const MeshConfig>> ReadMeshConfig(
+    const std::string& document) {
+  BOOST_LEAF_AUTO(json, ParseJson(document));
+  BOOST_LEAF_AUTO(configuration, FromJson<Configuration>(json));
+  return MeshConfig::Build(std::move(configuration));
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/decisions/mesh/mesh_config.cc
@@ -0,0 +1,142 @@
+#include "rosemarywinch/decisions/mesh/mesh_config.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace rosemarywinch {
+
+namespace {
+
+// A target this far above the timeout is taken for a slip of the pen.
+constexpr Duration kMostTargetAboveTimeout{60'000};
+
+Result<Done> CheckTimes(const std::string& name, const RouteSpec& spec) {
+  if (spec.timeout.ms <= 0) {
+    return Fail(ErrorId::kBadValue, "route " + name + " timeout");
+  }
+  if (spec.target_latency - spec.timeout >= kMostTargetAboveTimeout) {
+    return Fail(ErrorId::kBadValue, "route " + name + " target_latency");
+  }
+  return Done{};
+}
+
+Result<std::vector<SplitPart>> PartsOf(const std::string& name,
+                                       const RouteSpec& spec) {
+  std::vector<SplitPart> parts = spec.split;
+  if (spec.service) {
+    parts = {SplitPart{*spec.service, 1}};
+  }
+  double total = 0;
+  for (const SplitPart& part : parts) {
+    if (part.weight < 0) {
+      return Fail(ErrorId::kBadValue, "route " + name + " weight below 0");
+    }
+    total += part.weight;
+  }
+  if (total <= 0) {
+    return Fail(ErrorId::kBadValue, "route " + name + " has no weight");
+  }
+  return parts;
+}
+
+std::string LowerHost(std::string_view host) {
+  std::string lower(host.substr(0, host.find(':')));
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+}  // namespace
+
+const std::string& MeshRoute::ServiceAt(double point) const {
+  double total = 0;
+  for (const SplitPart& part : parts) {
+    total += part.weight;
+  }
+  double rest = point * total;
+  for (const SplitPart& part : parts) {
+    if (rest < part.weight) {
+      return part.service;
+    }
+    rest -= part.weight;
+  }
+  return parts.back().service;
+}
+
+MeshConfig::MeshConfig(Configuration configuration)
+    : m_configuration(std::move(configuration)) {}
+
+Result<std::shared_ptr<const MeshConfig>> MeshConfig::Build(
+    Configuration configuration) {
+  if (configuration.version == 0) {
+    return Fail(ErrorId::kBadValue, "version");
+  }
+  std::shared_ptr<MeshConfig> config(new MeshConfig(std::move(configuration)));
+  BOOST_LEAF_CHECK(config->AddRoutes());
+  BOOST_LEAF_CHECK(config->AddKeys());
+  return std::shared_ptr<const MeshConfig>(std::move(config));
+}
+
+Result<Done> MeshConfig::AddRoutes() {
+  for (const auto& [name, spec] : m_configuration.routes) {
+    BOOST_LEAF_CHECK(CheckTimes(name, spec));
+    BOOST_LEAF_AUTO(parts, PartsOf(name, spec));
+    for (const SplitPart& part : parts) {
+      if (!HasService(part.service)) {
+        return Fail(ErrorId::kBadValue,
+                    "route " + name + " service " + part.service);
+      }
+    }
+    m_hosts[LowerHost(spec.hostname)][spec.path_prefix] = m_routes.size();
+    m_routes.push_back({name, spec, std::move(parts)});
+  }
+  return Done{};
+}
+
+Result<Done> MeshConfig::AddKeys() {
+  for (const auto& [name, spec] : m_configuration.accounts) {
+    for (const std::string& key : spec.keys) {
+      const bool added =
+          m_keys.try_emplace(key, MeshAccount{name, spec}).second;
+      if (!added) {
+        return Fail(ErrorId::kBadValue, "account " + name + " shares a key");
+      }
+    }
+  }
+  return Done{};
+}
+
+const MeshRoute* MeshConfig::FindRoute(std::string_view host,
+                                       std::string_view path) const {
+  const auto found = m_hosts.find(LowerHost(host));
+  if (found == m_hosts.end()) {
+    return nullptr;
+  }
+  // Every prefix ends with a slash, so only those cuts of the path count.
+  size_t end = path.rfind('/');
+  while (end != std::string_view::npos) {
+    const auto route = found->second.find(path.substr(0, end + 1));
+    if (route != found->second.end()) {
+      return &m_routes[route->second];
+    }
+    end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const MeshAccount* MeshConfig::FindKey(const std::string& key) const {
+  const auto found = m_keys.find(key);
+  return found == m_keys.end() ? nullptr : &found->second;
+}
+
+const AccountSpec* MeshConfig::FindAccount(const std::string& name) const {
+  const auto found = m_configuration.accounts.find(name);
+  return found == m_configuration.accounts.end() ? nullptr : &found->second;
+}
+
+bool MeshConfig::HasService(const std::string& name) const {
+  return m_configuration.services.contains(name);
+}
+
+}  // namespace rosemarywinch
--- a/src/decisions/traffic/admission_queue.cc
+++ b/src/decisions/traffic/admission_queue.cc
@@ -68,6 +68,9 @@
 }
 
 size_t AdmissionQueue::LaneOf(const Ticket& ticket) {
+  if (ticket.rank) {
+    return ticket.nested ? 0 : std::min<size_t>(1 + *ticket.rank, kLanes - 1);
+  }
   const size_t by_class = IsEssential(ticket.request_class) ? 0 : 2;
   return by_class + (ticket.nested ? 0 : 1);
 }
--- a/src/programs/consensus_driver.cc
+++ b/src/programs/consensus_driver.cc
@@ -89,6 +89,11 @@
   }
 }
 
+void ConsensusDriver::AddKnownReplicas(const std::vector<uint32_t>& ids) {
+  std::scoped_lock lock(m_mutex);
+  m_replica->AddKnownReplicas(ids);
+}
+
 void ConsensusDriver::SubmitAsync(FleetCommand command, SubmitDone done) {
   std::scoped_lock lock(m_mutex);
   consensus::Effects effects;
@@ -136,11 +141,10 @@
     m_published = std::make_shared<const FleetState>(m_state);
   }
   return LeaderView{now, m_replica->hard_state().cluster, m_replica->term(),
-                    m_published};
+                    m_published, VoterIds()};
 }
 
-std::vector<uint32_t> ConsensusDriver::VoterIds() {
-  std::scoped_lock lock(m_mutex);
+std::vector<uint32_t> ConsensusDriver::VoterIds() const {
   std::vector<uint32_t> ids;
   for (const ReplicaRef& voter : m_replica->log().Voters()) {
     ids.push_back(voter.replica_id);
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "rosemarywinch/adapters/mesh_codec.h"
 #include "rosemarywinch/decisions/control/lease.h"
 #include "rosemarywinch/decisions/fleet/fleet_store.h"
 #include "rosemarywinch/decisions/fleet/policy.h"
@@ -46,6 +47,7 @@
   response.sequence = request.sequence;
   response.lease = m_lease;
   AddConfig(*view.state, request.config_version, response);
+  AddConfiguration(view, request, response);
   AddMembers(view.now, request, response);
   AddAllowances(view, request, response);
   std::scoped_lock lock(m_ledger.mutex);
@@ -146,13 +148,43 @@
   }
 }
 
+void ControlService::AddConfiguration(const ConsensusDriver::LeaderView& view,
+                                      const PollRequest& request,
+                                      PollResponse& response) {
+  const ConfigurationRecord& record = view.state->configuration;
+  response.configuration_version = record.version;
+  if (record.version != request.configuration_version) {
+    response.configuration = record.document;
+  }
+  response.replicas = view.voters;
+}
+
+AllowanceLimit ControlService::LimitOf(const FleetState& state,
+                                       const std::string& account) {
+  std::scoped_lock lock(m_mesh_mutex);
+  const ConfigurationRecord& record = state.configuration;
+  if (record.version > 0 &&
+      (m_mesh == nullptr || m_mesh->version() != record.version)) {
+    const auto built = Capture([&] { return ReadMeshConfig(record.document); });
+    if (const auto* config =
+            std::get_if<std::shared_ptr<const MeshConfig>>(&built)) {
+      m_mesh = *config;
+    }
+  }
+  const AccountSpec* spec =
+      m_mesh == nullptr ? nullptr : m_mesh->FindAccount(account);
+  if (spec != nullptr) {
+    return {spec->rate, spec->burst};
+  }
+  const EffectivePolicy policy = EffectiveAt(state, TreePath{"", "", account});
+  return {*policy.settings.rate, *policy.settings.burst};
+}
+
 void ControlService::AddAllowances(const ConsensusDriver::LeaderView& view,
                                    const PollRequest& request,
                                    PollResponse& response) {
   for (const AllowanceReport& report : request.allowances) {
-    const EffectivePolicy policy =
-        EffectiveAt(*view.state, TreePath{"", "", report.account});
-    const AllowanceLimit limit{*policy.settings.rate, *policy.settings.burst};
+    const AllowanceLimit limit = LimitOf(*view.state, report.account);
     m_lenders.With(report.account, [&](LenderShard& shard) {
       AllowanceLender& lender =
           shard.lenders.try_emplace(report.account, shard.since, m_lease)
--- a/src/programs/main.cc
+++ b/src/programs/main.cc
@@ -6,8 +6,10 @@
 #include <string>
 #include <vector>
 
+#include "platform/wire_protocol.h"
 #include "rosemarywinch/adapters/curl_channel.h"
 #include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/programs/mesh/mesh_programs.h"
 #include "rosemarywinch/programs/operator_commands.h"
 #include "rosemarywinch/programs/servers.h"
 #include "rosemarywinch/programs/settings_reader.h"
@@ -35,6 +37,7 @@
     AddKey();
     AddStatus();
     AddCheck();
+    AddMesh();
   }
 
   int Run(int argc, char** argv) {
@@ -183,6 +186,35 @@
     };
   }
 
+  void AddMesh() {
+    CLI::App* mesh = m_app.add_subcommand(
+        "mesh", "run a process of a mesh on the users' platform");
+    mesh->require_subcommand(1);
+    Program& node = AddProgram(
+        mesh->add_subcommand("node", "run a node beside a backend server"));
+    node.reader->Register(m_mesh_node);
+    for (const char* name : {"node_name", "backend_address", "caller_address",
+                             "local_address", "ready_address", "peer_address",
+                             "seeds"}) {
+      node.reader->Require(name);
+    }
+    node.run = [this, &node] {
+      return RunMeshNode(m_common, m_mesh_node, {node.reader->file()},
+                         m_protocol);
+    };
+    Program& control =
+        AddProgram(mesh->add_subcommand("control", "run a control replica"));
+    control.reader->Register(m_mesh_control);
+    for (const char* name : {"node_name", "operator_address", "peer_address",
+                             "seeds", "data_folder"}) {
+      control.reader->Require(name);
+    }
+    control.run = [this, &control] {
+      return RunMeshControl(m_common, m_mesh_control, {control.reader->file()},
+                            m_protocol);
+    };
+  }
+
   CLI::App m_app;
   std::deque<Program> m_programs;
   CommonSettings m_common;
@@ -190,6 +222,9 @@
   NodeSettings m_node;
   OperatorSettings m_operator;
   RequestWhy m_why;
+  MeshNodeSettings m_mesh_node;
+  MeshControlSettings m_mesh_control;
+  WireProtocol m_protocol;
 };
 
 }  // namespace
--- /dev/null
+++ b/src/programs/mesh/backend_door.cc
@@ -0,0 +1,265 @@
+#include "rosemarywinch/programs/mesh/backend_door.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "rosemarywinch/adapters/log.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+// The backend server gives up at the deadline by itself; its word is awaited
+// for this much longer.
+constexpr Duration kAnswerGrace{100};
+constexpr Duration kLeastWork{5};
+
+HopResponse NotRun(ErrorId reason) {
+  HopResponse response;
+  response.outcome = HopOutcome::kNotRun;
+  response.reason = reason;
+  return response;
+}
+
+ErrorId ReasonOf(BackendEnd end) {
+  switch (end) {
+    case BackendEnd::kNotSent:
+      return ErrorId::kNoBackend;
+    case BackendEnd::kTimedOut:
+      return ErrorId::kDeadlinePassed;
+    case BackendEnd::kAnswered:
+    case BackendEnd::kBroken:
+    case BackendEnd::kCallerGone:
+      break;
+  }
+  return ErrorId::kBackendFailed;
+}
+
+}  // namespace
+
+BackendDoor::BackendDoor(std::string address,
+                         Duration silence,
+                         uint32_t queue_length,
+                         MeshProtocol& protocol,
+                         Clock& clock)
+    : m_protocol(protocol),
+      m_clock(clock),
+      m_channel(address),
+      m_presence(address, silence),
+      m_queue(StaticLimit{1}, queue_length) {}
+
+ReportVerdict BackendDoor::OnReport(const ReportCall& call) {
+  ReportVerdict verdict;
+  {
+    std::scoped_lock lock(m_mutex);
+    const TimePoint now = m_clock.Now();
+    const auto before = m_presence.Current(now);
+    verdict = m_presence.OnReport(now, call.backend_id, call.report);
+    const auto after = m_presence.Current(now);
+    if (after) {
+      Tell(m_queue.SetLimit(now, StaticLimit{after->slots}));
+    }
+    if (before && after && before->id != after->id) {
+      m_channel.Clear();
+    }
+  }
+  NoteState("report");
+  return verdict;
+}
+
+void BackendDoor::OnWithdraw(const WithdrawCall& call) {
+  {
+    std::scoped_lock lock(m_mutex);
+    m_presence.OnWithdraw(call.backend_id);
+  }
+  NoteState("withdrawn");
+}
+
+void BackendDoor::BeginStop() {
+  std::scoped_lock lock(m_mutex);
+  m_stopping = true;
+}
+
+std::optional<LocalBackend> BackendDoor::Current() const {
+  std::scoped_lock lock(m_mutex);
+  std::optional<LocalBackend> current = m_presence.Current(m_clock.Now());
+  if (current && m_stopping) {
+    current->state = BackendState::kLeaving;
+  }
+  return current;
+}
+
+void BackendDoor::NoteState(const char* cause) {
+  const std::optional<LocalBackend> current = Current();
+  const std::string text =
+      current ? current->id + " " + std::string(NameOf(current->state))
+              : "none";
+  {
+    std::scoped_lock lock(m_mutex);
+    if (text == std::exchange(m_noted, text)) {
+      return;
+    }
+  }
+  LogChange(LogLevel::kInfo, "backend", {{"state", text}, {"cause", cause}});
+  m_changed();
+}
+
+std::optional<LocalBackend> BackendDoor::Serving(
+    const std::string& service) const {
+  std::scoped_lock lock(m_mutex);
+  const auto current = m_presence.Current(m_clock.Now());
+  const bool serves = current && !m_stopping && current->service == service &&
+                      current->state != BackendState::kLeaving;
+  return serves ? current : std::nullopt;
+}
+
+asio::awaitable<HopResponse> BackendDoor::Run(
+    HopRequest request,
+    std::shared_ptr<RequestScope> scope) {
+  const TimePoint deadline = m_clock.Now() + request.time_left;
+  HopResponse response;
+  if (!Serving(request.service)) {
+    response = NotRun(ErrorId::kNoBackend);
+  } else if (const auto refused =
+                 co_await WaitForTurn(request, deadline, scope)) {
+    response = NotRun(*refused);
+    std::scoped_lock lock(m_mutex);
+    response.retry_after = m_queue.ExpectedWait();
+  } else {
+    const TimePoint began = m_clock.Now();
+    response = co_await SendToBackend(request, deadline, scope);
+    const Duration took = m_clock.Now() - began;
+    FinishTurn({static_cast<double>(took.ms),
+                response.outcome != HopOutcome::kAnswered});
+  }
+  AddLoad(response);
+  co_return response;
+}
+
+asio::awaitable<std::optional<ErrorId>> BackendDoor::WaitForTurn(
+    const HopRequest& request,
+    TimePoint deadline,
+    std::shared_ptr<RequestScope> scope) {
+  const auto turn = std::make_shared<Turn>(co_await asio::this_coro::executor);
+  uint64_t id = 0;
+  {
+    std::scoped_lock lock(m_mutex);
+    id = ++m_next_ticket;
+    Ticket ticket;
+    ticket.id = id;
+    ticket.account = request.account;
+    ticket.nested = request.nested;
+    ticket.rank = request.priority;
+    ticket.deadline = deadline;
+    m_turns[id] = turn;
+    Tell(m_queue.Offer(m_clock.Now(), std::move(ticket)));
+  }
+  const ScopeWatch watch(scope, [turn] { turn->GiveUp(); });
+  const auto verdict = co_await turn->Wait(deadline - m_clock.Now());
+  if (verdict == Verdict::kRun) {
+    co_return std::nullopt;
+  }
+  std::scoped_lock lock(m_mutex);
+  m_queue.Withdraw(id);
+  // The turn may have come between the wait and the lock.
+  if (m_turns.erase(id) == 0 && !verdict) {
+    const auto late = turn->TakeNow();
+    if (late == Verdict::kRun) {
+      Tell(m_queue.Finish(m_clock.Now(), {0, true}));
+    }
+  }
+  co_return verdict ? ErrorId::kOverloaded : ErrorId::kDeadlinePassed;
+}
+
+asio::awaitable<HopResponse> BackendDoor::SendToBackend(
+    const HopRequest& request,
+    TimePoint deadline,
+    std::shared_ptr<RequestScope> scope) {
+  const auto backend = Serving(request.service);
+  const Duration left = deadline - m_clock.Now();
+  if (!backend || scope->ended()) {
+    co_return NotRun(ErrorId::kNoBackend);
+  }
+  if (left < kLeastWork) {
+    co_return NotRun(ErrorId::kDeadlinePassed);
+  }
+  BackendResult result = co_await m_channel.Send(
+      m_protocol.WriteBackendRequest(request, backend->id, left),
+      [&](const HttpResponse& response) {
+        const BackendAnswer answer =
+            m_protocol.ReadBackendAnswer(request, response);
+        return answer.belongs || answer.not_run;
+      },
+      left + kAnswerGrace, scope);
+  if (result.refused) {
+    {
+      std::scoped_lock lock(m_mutex);
+      m_presence.OnRefused(m_clock.Now());
+    }
+    NoteState("refused");
+  }
+  co_return ReadResult(request, std::move(result));
+}
+
+HopResponse BackendDoor::ReadResult(const HopRequest& request,
+                                    BackendResult result) {
+  if (result.end == BackendEnd::kNotSent) {
+    return NotRun(ErrorId::kNoBackend);
+  }
+  HopResponse response;
+  response.reached_backend = true;
+  if (result.end != BackendEnd::kAnswered) {
+    response.outcome = HopOutcome::kUnknown;
+    response.reason = ReasonOf(result.end);
+    return response;
+  }
+  const BackendAnswer answer =
+      m_protocol.ReadBackendAnswer(request, result.response);
+  if (answer.not_run) {
+    response.outcome = HopOutcome::kNotRun;
+    response.reason =
+        answer.misdirected ? ErrorId::kNoBackend : ErrorId::kOverloaded;
+    return response;
+  }
+  if (!answer.genuine) {
+    response.outcome = HopOutcome::kUnknown;
+    response.reason = ErrorId::kBackendFailed;
+    return response;
+  }
+  response.outcome = HopOutcome::kAnswered;
+  response.status = static_cast<uint32_t>(result.response.status);
+  for (const HttpHeader& header : result.response.headers.all()) {
+    response.headers.push_back({header.name, header.value});
+  }
+  response.body = std::move(result.response.body);
+  return response;
+}
+
+void BackendDoor::FinishTurn(const CallSample& sample) {
+  std::scoped_lock lock(m_mutex);
+  Tell(m_queue.Finish(m_clock.Now(), sample));
+}
+
+// Under the lock.
+void BackendDoor::Tell(const std::vector<Admission>& admissions) {
+  for (const Admission& admission : admissions) {
+    const auto found = m_turns.find(admission.ticket);
+    if (found != m_turns.end() && admission.verdict != Verdict::kWait) {
+      found->second->Set(admission.verdict);
+      m_turns.erase(found);
+    }
+  }
+}
+
+void BackendDoor::AddLoad(HopResponse& response) const {
+  std::scoped_lock lock(m_mutex);
+  response.in_flight = m_queue.in_flight();
+  response.waiting = static_cast<uint32_t>(m_queue.waiting());
+}
+
+size_t BackendDoor::open_requests() const {
+  std::scoped_lock lock(m_mutex);
+  return m_queue.in_flight() + m_queue.waiting();
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/mesh/hop_server.cc
@@ -0,0 +1,100 @@
+#include "rosemarywinch/programs/mesh/hop_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <vector>
+
+#include "rosemarywinch/adapters/json_codec.h"
+#include "rosemarywinch/adapters/log.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+std::string ShardKey(uint64_t exchange) {
+  return std::to_string(exchange);
+}
+
+}  // namespace
+
+HopServer::HopServer(asio::io_context& context,
+                     const std::string& address,
+                     BackendDoor& door)
+    : m_address(address),
+      m_door(door),
+      m_listener(
+          context,
+          [this](const std::shared_ptr<FrameLink>& link, Frame frame) {
+            OnFrame(link, std::move(frame));
+          },
+          [this](const std::shared_ptr<FrameLink>& link) { OnClosed(link); }) {
+}
+
+void HopServer::OnFrame(const std::shared_ptr<FrameLink>& link, Frame frame) {
+  if (frame.type == FrameType::kHopRequest) {
+    Begin(link, std::move(frame));
+    return;
+  }
+  if (frame.type == FrameType::kCancel) {
+    std::shared_ptr<RequestScope> scope;
+    m_exchanges.With(ShardKey(frame.exchange), [&](Shard& shard) {
+      const auto found = shard.open.find({link.get(), frame.exchange});
+      if (found != shard.open.end()) {
+        scope = found->second;
+      }
+    });
+    if (scope != nullptr) {
+      scope->End();
+    }
+  }
+}
+
+void HopServer::OnClosed(const std::shared_ptr<FrameLink>& link) {
+  std::vector<std::shared_ptr<RequestScope>> cut;
+  m_exchanges.ForEach([&](Shard& shard) {
+    for (const auto& [key, scope] : shard.open) {
+      if (key.first == link.get()) {
+        cut.push_back(scope);
+      }
+    }
+  });
+  for (const auto& scope : cut) {
+    scope->End();
+  }
+}
+
+void HopServer::Begin(const std::shared_ptr<FrameLink>& link, Frame frame) {
+  const auto scope = std::make_shared<RequestScope>();
+  m_exchanges.With(ShardKey(frame.exchange), [&](Shard& shard) {
+    shard.open[{link.get(), frame.exchange}] = scope;
+  });
+  asio::co_spawn(
+      link->strand(),
+      [this, link, scope, frame = std::move(frame)]() mutable {
+        return Run(link, std::move(frame), scope);
+      },
+      asio::detached);
+}
+
+asio::awaitable<void> HopServer::Run(std::shared_ptr<FrameLink> link,
+                                     Frame frame,
+                                     std::shared_ptr<RequestScope> scope) {
+  const uint64_t exchange = frame.exchange;
+  const Outcome<HopRequest> decoded =
+      Capture([&] { return FromBinary<HopRequest>(frame.payload); });
+  HopResponse response;
+  if (const auto* request = std::get_if<HopRequest>(&decoded)) {
+    response = co_await m_door.Run(*request, scope);
+  } else {
+    response.outcome = HopOutcome::kNotRun;
+    response.reason = ErrorId::kMalformedMessage;
+    LogChange(LogLevel::kError, "hop_malformed",
+              {{"error", std::get<Error>(decoded).Message()}});
+  }
+  m_exchanges.With(ShardKey(exchange), [&](Shard& shard) {
+    shard.open.erase({link.get(), exchange});
+  });
+  link->Send({FrameType::kHopResponse, exchange, ToBinary(response)});
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/mesh/mesh_control.cc
@@ -0,0 +1,320 @@
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "rosemarywinch/adapters/async/async_http_server.h"
+#include "rosemarywinch/adapters/async/link_client.h"
+#include "rosemarywinch/adapters/file_storage.h"
+#include "rosemarywinch/adapters/json_codec.h"
+#include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/adapters/metrics.h"
+#include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/core/text_value.h"
+#include "rosemarywinch/programs/consensus_driver.h"
+#include "rosemarywinch/programs/control_service.h"
+#include "rosemarywinch/programs/mesh/mesh_programs.h"
+#include "rosemarywinch/programs/mesh/mesh_runtime.h"
+#include "rosemarywinch/programs/mesh/seed_watch.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+// An operator asks elsewhere after a second without an answer.
+constexpr Duration kAcceptLimit{900};
+// Part of the withdrawal limit for which nodes may act on what they were told.
+constexpr int64_t kLeasePercent = 70;
+constexpr int64_t kPercent = 100;
+// Entries hold whole configurations, so the log is kept short.
+constexpr uint64_t kSnapshotEntries = 24;
+constexpr int kUnavailable = 503;
+constexpr int kBadRequest = 400;
+constexpr int kPreconditionFailed = 412;
+
+uint16_t PortOf(const std::string& address) {
+  const auto port = ParseNumber(address.substr(address.rfind(':') + 1));
+  return static_cast<uint16_t>(port.value_or(0));
+}
+
+/// Sends messages between replicas over links; an id is a host's number.
+class LinkPeerTransport : public PeerTransport {
+ public:
+  LinkPeerTransport(LinkClient& links, uint16_t port)
+      : m_links(links), m_port(port) {}
+
+  void Send(const PeerMessage& message) override {
+    m_links.Post(AddressOfHost(message.to_replica, m_port),
+                 FrameType::kPeerMessage, ToBinary(message));
+  }
+
+ private:
+  LinkClient& m_links;
+  const uint16_t m_port;
+};
+
+/// A control replica of the mesh and what it consists of.
+class MeshControl {
+ public:
+  MeshControl(const MeshControlSettings& settings,
+              const SettingsSource& source,
+              MeshProtocol& protocol)
+      : m_settings(settings),
+        m_protocol(protocol),
+        m_links(m_runtime.context()),
+        m_transport(m_links, PortOf(settings.peer_address)),
+        m_storage(settings.data_folder),
+        m_service(settings.withdrawal_limit * kLeasePercent / kPercent),
+        m_driver(DriverOptions(settings),
+                 m_clock,
+                 m_random,
+                 m_storage,
+                 m_transport,
+                 m_service),
+        m_listener(
+            m_runtime.context(),
+            [this](const auto& link, Frame frame) { OnFrame(link, frame); },
+            [](const auto&) {}),
+        m_seeds(m_runtime.context(),
+                source.file,
+                settings.seeds,
+                [this](const auto& seeds) { TakeSeeds(seeds); }) {
+    m_service.Attach(m_driver);
+  }
+
+  Result<ExitCode> Run() {
+    BOOST_LEAF_CHECK(m_driver.Start());
+    BOOST_LEAF_CHECK(m_listener.Start(m_settings.peer_address));
+    m_operators = std::make_shared<AsyncHttpServer>(
+        m_runtime.context(), [this](HttpRequest request, auto) {
+          return HandleOperator(std::move(request));
+        });
+    BOOST_LEAF_CHECK(m_operators->Start(m_settings.operator_address));
+    if (!m_settings.metrics_address.empty()) {
+      m_metrics_server = std::make_shared<AsyncHttpServer>(
+          m_runtime.context(),
+          [this](HttpRequest, auto) { return HandleMetrics(); });
+      BOOST_LEAF_CHECK(m_metrics_server->Start(m_settings.metrics_address));
+    }
+    m_seeds.Start();
+    m_runtime.Run([this] {
+      LogChange(LogLevel::kInfo, "stopping");
+      m_runtime.Stop();
+    });
+    m_driver.Stop();
+    LogChange(LogLevel::kInfo, "stopped");
+    return ExitCode::kSuccess;
+  }
+
+ private:
+  static ConsensusDriver::Options DriverOptions(
+      const MeshControlSettings& settings) {
+    ConsensusDriver::Options options;
+    options.snapshot_entries = kSnapshotEntries;
+    options.replica.replica_id = HostNumber(settings.peer_address);
+    options.replica.may_found = settings.founding;
+    options.replica.max_voters = 2 * settings.tolerated_losses + 1;
+    std::set<uint32_t> ids;
+    for (const std::string& seed : SplitList(settings.seeds)) {
+      ids.insert(HostNumber(seed));
+    }
+    options.replica.replica_ids.assign(ids.begin(), ids.end());
+    options.founding_voters = std::min(ids.size(), options.replica.max_voters);
+    return options;
+  }
+
+  void TakeSeeds(const std::vector<std::string>& seeds) {
+    std::vector<uint32_t> ids;
+    for (const std::string& seed : seeds) {
+      ids.push_back(HostNumber(seed));
+    }
+    m_driver.AddKnownReplicas(ids);
+  }
+
+  void OnFrame(const std::shared_ptr<FrameLink>& link, const Frame& frame) {
+    if (frame.type == FrameType::kPeerMessage) {
+      TakePeerMessage(frame);
+    } else if (frame.type == FrameType::kPollRequest) {
+      AnswerPoll(link, frame);
+    }
+  }
+
+  void TakePeerMessage(const Frame& frame) {
+    const Outcome<PeerMessage> message =
+        Capture([&] { return FromBinary<PeerMessage>(frame.payload); });
+    if (const auto* error = std::get_if<Error>(&message)) {
+      LogChange(LogLevel::kError, "peer_message_malformed",
+                {{"error", error->Message()}});
+      return;
+    }
+    m_driver.Receive(std::get<PeerMessage>(message));
+  }
+
+  void AnswerPoll(const std::shared_ptr<FrameLink>& link, const Frame& frame) {
+    const Outcome<PollResponse> outcome =
+        Capture([&]() -> Result<PollResponse> {
+          BOOST_LEAF_AUTO(request, FromBinary<PollRequest>(frame.payload));
+          return m_service.Poll(request);
+        });
+    PollReply reply;
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      reply.error = error->id;
+      reply.detail = error->detail;
+    } else {
+      reply.response = std::get<PollResponse>(outcome);
+    }
+    link->Send({FrameType::kPollReply, frame.exchange, ToBinary(reply)});
+  }
+
+  asio::awaitable<HttpResponse> HandleOperator(HttpRequest request) {
+    OperatorCall call = m_protocol.ReadOperatorCall(request);
+    if (auto* put = std::get_if<PutConfigurationCall>(&call)) {
+      co_return co_await PutConfigurationNow(request, std::move(*put));
+    }
+    if (const auto* unknown = std::get_if<UnknownCall>(&call)) {
+      LogChange(LogLevel::kInfo, "operator_call_refused",
+                {{"error", unknown->error.Message()}});
+      co_return Answer(unknown->error);
+    }
+    co_return GetConfiguration(request);
+  }
+
+  HttpResponse GetConfiguration(const HttpRequest& request) {
+    const auto view = Capture([&] { return m_driver.ReadAsLeader(); });
+    if (const auto* error = std::get_if<Error>(&view)) {
+      return AnswerOrRedirect(request, *error);
+    }
+    const auto& record =
+        std::get<ConsensusDriver::LeaderView>(view).state->configuration;
+    if (record.version == 0) {
+      return Answer({ErrorId::kCutOff, "no configuration yet"});
+    }
+    return m_protocol.WriteConfiguration(record.document);
+  }
+
+  asio::awaitable<HttpResponse> PutConfigurationNow(
+      HttpRequest request,
+      PutConfigurationCall call) {
+    const std::string version = std::to_string(call.configuration.version);
+    PutConfiguration change;
+    change.version = call.configuration.version;
+    change.base_version = call.configuration.base_version;
+    change.document = std::move(call.document);
+    change.fingerprint = m_hasher.Hash(call.canonical);
+    const auto built = Capture(
+        [&] { return MeshConfig::Build(std::move(call.configuration)); });
+    if (const auto* error = std::get_if<Error>(&built)) {
+      LogChange(LogLevel::kInfo, "configuration_refused",
+                {{"version", version}, {"error", error->Message()}});
+      co_return Answer(*error);
+    }
+    using Accepted = OneShot<Outcome<CommandResult>>;
+    const auto accepted =
+        std::make_shared<Accepted>(co_await asio::this_coro::executor);
+    FleetCommand command;
+    command.author = "operator";
+    command.change = std::move(change);
+    m_driver.SubmitAsync(std::move(command),
+                         [accepted](Outcome<CommandResult> outcome) {
+                           accepted->Set(std::move(outcome));
+                         });
+    const auto outcome = co_await accepted->Wait(kAcceptLimit);
+    if (!outcome) {
+      co_return Answer({ErrorId::kNotAccepted, "no quorum answered in time"});
+    }
+    if (const auto* error = std::get_if<Error>(&*outcome)) {
+      co_return AnswerOrRedirect(request, *error);
+    }
+    const auto& result = std::get<CommandResult>(*outcome);
+    LogChange(LogLevel::kInfo, "configuration_put",
+              {{"version", version},
+               {"result", std::string(NameOf(result.error))},
+               {"in_place", std::to_string(result.version)}});
+    co_return Answer({result.error, result.detail});
+  }
+
+  HttpResponse AnswerOrRedirect(const HttpRequest& request,
+                                const Error& error) {
+    const auto leader = ParseNumber(error.detail);
+    const bool elsewhere =
+        error.id == ErrorId::kNotLeader && leader && *leader > 0 &&
+        static_cast<uint32_t>(*leader) != HostNumber(m_settings.peer_address);
+    if (!elsewhere) {
+      return Answer(error);
+    }
+    return m_protocol.WriteRedirect(
+        request, AddressOfHost(static_cast<uint32_t>(*leader),
+                               PortOf(m_settings.operator_address)));
+  }
+
+  HttpResponse Answer(const Error& error) {
+    Refusal refusal;
+    refusal.error = error;
+    switch (error.id) {
+      case ErrorId::kNone: {
+        HttpResponse accepted;
+        accepted.headers.Add("Content-Type", "application/json");
+        accepted.body = "{}";
+        return accepted;
+      }
+      case ErrorId::kConflict:
+        refusal.status = kPreconditionFailed;
+        break;
+      case ErrorId::kBadValue:
+      case ErrorId::kMalformedMessage:
+        refusal.status = kBadRequest;
+        break;
+      case ErrorId::kUnknownRoute:
+        break;
+      default:
+        refusal.status = kUnavailable;
+        break;
+    }
+    return m_protocol.WriteRefusal(refusal);
+  }
+
+  asio::awaitable<HttpResponse> HandleMetrics() {
+    const ControlStatus status = m_driver.Status();
+    m_metrics.Set("control_leader", status.leader ? 1 : 0);
+    m_metrics.Set("control_term", static_cast<double>(status.term));
+    m_metrics.Set("control_commit_index",
+                  static_cast<double>(status.commit_index));
+    HttpResponse response;
+    response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    response.body = m_metrics.Text();
+    co_return response;
+  }
+
+  const MeshControlSettings m_settings;
+  MeshProtocol& m_protocol;
+  SystemClock m_clock;
+  SystemRandom m_random;
+  SodiumHasher m_hasher;
+  Metrics m_metrics;
+  MeshRuntime m_runtime;
+  LinkClient m_links;
+  LinkPeerTransport m_transport;
+  FileStorage m_storage;
+  ControlService m_service;
+  ConsensusDriver m_driver;
+  FrameListener m_listener;
+  SeedWatch m_seeds;
+  std::shared_ptr<AsyncHttpServer> m_operators;
+  std::shared_ptr<AsyncHttpServer> m_metrics_server;
+};
+
+}  // namespace
+
+Result<ExitCode> RunMeshControl(const CommonSettings& common,
+                                const MeshControlSettings& settings,
+                                const SettingsSource& source,
+                                MeshProtocol& protocol) {
+  StartLog(common.log_level, "control", settings.node_name,
+           LogTarget::kOutput);
+  LogChange(LogLevel::kInfo, "start", {{"seeds", settings.seeds}});
+  MeshControl control(settings, source, protocol);
+  return control.Run();
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/mesh/mesh_node.cc
@@ -0,0 +1,228 @@
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "rosemarywinch/adapters/async/async_http_server.h"
+#include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/adapters/metrics.h"
+#include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/programs/mesh/caller_entry.h"
+#include "rosemarywinch/programs/mesh/hop_client.h"
+#include "rosemarywinch/programs/mesh/hop_server.h"
+#include "rosemarywinch/programs/mesh/mesh_poller.h"
+#include "rosemarywinch/programs/mesh/mesh_programs.h"
+#include "rosemarywinch/programs/mesh/mesh_runtime.h"
+#include "rosemarywinch/programs/mesh/seed_watch.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kBadRequest = 400;
+constexpr uint32_t kQueueLength = 400;
+// A backend server that misses this many reports in a row counts as gone.
+constexpr int64_t kMissedReports = 4;
+constexpr int64_t kMsPerSecond = 1000;
+// Readiness must be seen to fail before connections are closed.
+constexpr Duration kAnnounceStop{2'400};
+// The stop ends this long before it would be cut short from outside.
+constexpr Duration kStopMargin{250};
+constexpr Duration kStopCheck{50};
+
+/// A node of the mesh and what it consists of.
+class MeshNode {
+ public:
+  MeshNode(const MeshNodeSettings& settings,
+           const SettingsSource& source,
+           MeshProtocol& protocol)
+      : m_settings(settings),
+        m_protocol(protocol),
+        m_view(settings.data_centre, m_clock, m_random),
+        m_door(settings.backend_address,
+               settings.report_interval * kMissedReports,
+               kQueueLength,
+               protocol,
+               m_clock),
+        m_links(m_runtime.context()),
+        m_hop_client(settings.node_name, m_door, m_links),
+        m_hop_server(m_runtime.context(), settings.peer_address, m_door),
+        m_entry(settings.service,
+                m_view,
+                m_hop_client,
+                protocol,
+                m_clock,
+                m_metrics),
+        m_poller(m_runtime.context(),
+                 PollerOptions(settings),
+                 m_view,
+                 m_door,
+                 m_links,
+                 m_clock),
+        m_seeds(m_runtime.context(),
+                source.file,
+                settings.seeds,
+                [this](const auto& seeds) { m_poller.SetSeeds(seeds); }) {
+    m_view.OnUrgent([this] { m_poller.Poke(); });
+    m_door.OnChange([this] { m_poller.Poke(); });
+  }
+
+  Result<ExitCode> Run() {
+    BOOST_LEAF_CHECK(StartServers());
+    m_seeds.Start();
+    m_poller.Start();
+    m_runtime.Run([this] {
+      asio::co_spawn(
+          m_runtime.context(), [this] { return StopGracefully(); },
+          asio::detached);
+    });
+    LogChange(LogLevel::kInfo, "stopped",
+              {{"open", std::to_string(OpenRequests())}});
+    return OpenRequests() == 0 ? ExitCode::kSuccess : ExitCode::kRequestsCutOff;
+  }
+
+ private:
+  static MeshPoller::Options PollerOptions(const MeshNodeSettings& settings) {
+    return {settings.node_name, settings.data_centre, settings.peer_address,
+            static_cast<uint16_t>(settings.control_peer_port),
+            settings.poll_interval};
+  }
+
+  Result<Done> StartServers() {
+    BOOST_LEAF_CHECK(m_hop_server.Start());
+    m_callers = MakeServer([this](HttpRequest request, auto scope) {
+      return m_entry.Handle(std::move(request), std::move(scope));
+    });
+    BOOST_LEAF_CHECK(m_callers->Start(m_settings.caller_address));
+    m_local = MakeServer([this](HttpRequest request, auto) {
+      return HandleLocal(std::move(request));
+    });
+    BOOST_LEAF_CHECK(m_local->Start(m_settings.local_address));
+    m_ready = MakeServer([this](HttpRequest request, auto) {
+      return HandleReady(std::move(request));
+    });
+    BOOST_LEAF_CHECK(m_ready->Start(m_settings.ready_address));
+    if (!m_settings.metrics_address.empty()) {
+      m_metrics_server = MakeServer(
+          [this](HttpRequest, auto) { return HandleMetrics(); });
+      BOOST_LEAF_CHECK(m_metrics_server->Start(m_settings.metrics_address));
+    }
+    return Done{};
+  }
+
+  std::shared_ptr<AsyncHttpServer> MakeServer(AsyncHandler handler) {
+    return std::make_shared<AsyncHttpServer>(m_runtime.context(),
+                                             std::move(handler));
+  }
+
+  asio::awaitable<HttpResponse> HandleReady(HttpRequest request) {
+    const bool ready = m_protocol.IsReadinessCheck(request) &&
+                       m_view.IsReady() && !m_callers->closing();
+    HttpResponse response;
+    response.status = ready ? kOk : kUnavailable;
+    co_return response;
+  }
+
+  asio::awaitable<HttpResponse> HandleMetrics() {
+    HttpResponse response;
+    response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    response.body = m_metrics.Text();
+    co_return response;
+  }
+
+  asio::awaitable<HttpResponse> HandleLocal(HttpRequest request) {
+    const LocalCall call = m_protocol.ReadLocalCall(request);
+    co_return std::visit(
+        Overloaded{
+            [this](const ReportCall& report) { return TakeReport(report); },
+            [this](const WithdrawCall& withdraw) {
+              m_door.OnWithdraw(withdraw);
+              return HttpResponse{};
+            },
+            [this](const UnknownCall& unknown) {
+              LogChange(LogLevel::kInfo, "local_call_refused",
+                        {{"error", unknown.error.Message()}});
+              Refusal refusal;
+              refusal.error = unknown.error;
+              return m_protocol.WriteRefusal(refusal);
+            }},
+        call);
+  }
+
+  HttpResponse TakeReport(const ReportCall& report) {
+    HttpResponse response;
+    response.headers.Add("Content-Type", "application/json");
+    response.body = "{}";
+    if (m_door.OnReport(report) == ReportVerdict::kInvalid) {
+      LogChange(LogLevel::kInfo, "report_invalid",
+                {{"backend", report.backend_id}});
+      response.status = kBadRequest;
+    }
+    return response;
+  }
+
+  size_t OpenRequests() const {
+    return m_callers->open_requests() + m_door.open_requests();
+  }
+
+  asio::awaitable<void> StopGracefully() {
+    LogChange(LogLevel::kInfo, "stopping",
+              {{"open", std::to_string(OpenRequests())}});
+    const TimePoint began = m_clock.Now();
+    const auto grace =
+        static_cast<int64_t>(m_settings.stop_grace * kMsPerSecond);
+    const TimePoint end = began + Duration{grace} - kStopMargin;
+    m_callers->BeginClosing();
+    m_door.BeginStop();
+    m_poller.BeginLeaving();
+    co_await Sleep(std::min(kAnnounceStop, end - began));
+    m_callers->Stop();
+    while (OpenRequests() > 0 && m_clock.Now() < end) {
+      co_await Sleep(kStopCheck);
+    }
+    m_runtime.Stop();
+  }
+
+  asio::awaitable<void> Sleep(Duration length) {
+    asio::steady_timer timer(m_runtime.context(),
+                             std::chrono::milliseconds(length.ms));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
+  const MeshNodeSettings m_settings;
+  MeshProtocol& m_protocol;
+  SystemClock m_clock;
+  SystemRandom m_random;
+  Metrics m_metrics;
+  MeshRuntime m_runtime;
+  MeshView m_view;
+  BackendDoor m_door;
+  LinkClient m_links;
+  HopClient m_hop_client;
+  HopServer m_hop_server;
+  CallerEntry m_entry;
+  MeshPoller m_poller;
+  SeedWatch m_seeds;
+  std::shared_ptr<AsyncHttpServer> m_callers;
+  std::shared_ptr<AsyncHttpServer> m_local;
+  std::shared_ptr<AsyncHttpServer> m_ready;
+  std::shared_ptr<AsyncHttpServer> m_metrics_server;
+};
+
+}  // namespace
+
+Result<ExitCode> RunMeshNode(const CommonSettings& common,
+                             const MeshNodeSettings& settings,
+                             const SettingsSource& source,
+                             MeshProtocol& protocol) {
+  StartLog(common.log_level, "node", settings.node_name, LogTarget::kOutput);
+  LogChange(LogLevel::kInfo, "start", {{"service", settings.service}});
+  MeshNode node(settings, source, protocol);
+  return node.Run();
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/mesh/mesh_poller.cc
@@ -0,0 +1,169 @@
+#include "rosemarywinch/programs/mesh/mesh_poller.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "rosemarywinch/adapters/json_codec.h"
+#include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/core/text_value.h"
+#include "rosemarywinch/decisions/consensus/replica.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+// A replica that has not answered by now is taken for gone.
+constexpr Duration kPollLimit{500};
+// Least pause between two polls, however urgent.
+constexpr Duration kLeastPause{40};
+// Pause after a round in which no replica could answer.
+constexpr Duration kUnreachablePause{150};
+
+std::chrono::milliseconds ToChrono(Duration length) {
+  return std::chrono::milliseconds(length.ms);
+}
+
+}  // namespace
+
+MeshPoller::MeshPoller(asio::io_context& context,
+                       Options options,
+                       MeshView& view,
+                       BackendDoor& door,
+                       LinkClient& links,
+                       Clock& clock)
+    : m_options(std::move(options)),
+      m_view(view),
+      m_door(door),
+      m_links(links),
+      m_clock(clock),
+      m_strand(asio::make_strand(context.get_executor())),
+      m_timer(m_strand) {}
+
+void MeshPoller::Start() {
+  asio::co_spawn(
+      m_strand, [this] { return PollLoop(); }, asio::detached);
+}
+
+void MeshPoller::SetSeeds(const std::vector<std::string>& addresses) {
+  std::scoped_lock lock(m_mutex);
+  m_seeds.clear();
+  for (const std::string& address : addresses) {
+    m_seeds.insert(HostNumber(address));
+  }
+  m_seeds.erase(0);
+}
+
+void MeshPoller::Poke() {
+  if (!m_urgent.exchange(true)) {
+    asio::post(m_strand, [this] { m_timer.cancel(); });
+  }
+}
+
+void MeshPoller::BeginLeaving() {
+  m_leaving = true;
+  Poke();
+}
+
+std::vector<uint32_t> MeshPoller::Candidates() {
+  std::scoped_lock lock(m_mutex);
+  std::vector<uint32_t> candidates;
+  if (m_leader != 0) {
+    candidates.push_back(m_leader);
+  }
+  std::set<uint32_t> others = m_replicas;
+  others.insert(m_seeds.begin(), m_seeds.end());
+  others.erase(m_leader);
+  candidates.insert(candidates.end(), others.begin(), others.end());
+  return candidates;
+}
+
+asio::awaitable<void> MeshPoller::PollLoop() {
+  while (true) {
+    m_urgent = false;
+    bool answered = false;
+    for (const uint32_t replica : Candidates()) {
+      answered = co_await PollOnce(replica);
+      if (answered) {
+        break;
+      }
+    }
+    boost::system::error_code ignored;
+    m_timer.expires_after(ToChrono(kLeastPause));
+    co_await m_timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    const Duration pause =
+        answered ? m_options.interval - kLeastPause : kUnreachablePause;
+    m_timer.expires_after(ToChrono(pause));
+    if (!m_urgent) {
+      co_await m_timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+    }
+  }
+}
+
+asio::awaitable<bool> MeshPoller::PollOnce(uint32_t replica) {
+  const TimePoint sent = m_clock.Now();
+  const ExchangeResult result = co_await m_links.Exchange(
+      AddressOfHost(replica, m_options.control_port), FrameType::kPollRequest,
+      ToBinary(MakeRequest()), kPollLimit, std::make_shared<RequestScope>());
+  const Outcome<Done> outcome = Capture([&]() -> Result<Done> {
+    if (result.end != ExchangeEnd::kReplied) {
+      return Fail(ErrorId::kUnreachable,
+                  AddressOfHost(replica, m_options.control_port));
+    }
+    BOOST_LEAF_AUTO(reply, FromBinary<PollReply>(result.payload));
+    if (!reply.response) {
+      return Fail(reply.error, reply.detail);
+    }
+    std::scoped_lock lock(m_mutex);
+    m_leader = replica;
+    m_replicas = {reply.response->replicas.begin(),
+                  reply.response->replicas.end()};
+    return m_view.ApplyPoll(sent, *reply.response);
+  });
+  const auto* error = std::get_if<Error>(&outcome);
+  if (error == nullptr) {
+    NoteReachable(true, "");
+    co_return true;
+  }
+  std::scoped_lock lock(m_mutex);
+  if (m_leader == replica) {
+    m_leader = 0;
+  }
+  if (error->id == ErrorId::kNotLeader) {
+    const auto leader = ParseNumber(error->detail);
+    m_leader = leader ? static_cast<uint32_t>(*leader) : m_leader;
+  }
+  NoteReachable(false, error->Message());
+  co_return false;
+}
+
+PollRequest MeshPoller::MakeRequest() {
+  PollRequest request;
+  request.protocol_version = consensus::kProtocolVersion;
+  request.node = m_options.node;
+  request.sequence = ++m_sequence;
+  request.leaving = m_leaving;
+  request.member.node = m_options.node;
+  request.member.address = m_options.peer_address;
+  request.member.data_centre = m_options.data_centre;
+  if (const auto backend = m_door.Current()) {
+    request.member.service = backend->service;
+    request.member.state = backend->state;
+    request.member.slots = backend->slots;
+  }
+  m_view.FillPoll(request);
+  return request;
+}
+
+void MeshPoller::NoteReachable(bool reachable, const std::string& why) {
+  if (std::exchange(m_reachable, reachable) != reachable) {
+    LogChange(LogLevel::kInfo,
+              reachable ? "control_regained" : "control_lost",
+              {{"why", why}});
+  }
+}
+
+}  // namespace rosemarywinch
--- /dev/null
+++ b/src/programs/mesh/mesh_view.cc
@@ -0,0 +1,237 @@
+#include "rosemarywinch/programs/mesh/mesh_view.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/adapters/mesh_codec.h"
+
+namespace rosemarywinch {
+
+namespace {
+
+// Longest wait for control to lend a larger share of an allowance.
+constexpr Duration kFirstShareWait{200};
+constexpr Duration kMoreShareWait{60};
+// Retries that one node may save up for a service: all nodes together stay
+// well below the slack of the fleet's budget.
+constexpr double kSavedRetries = 2;
+constexpr uint64_t kSplitSteps = 1u << 20;
+
+}  // namespace
+
+MeshView::MeshView(std::string data_centre, Clock& clock, Random& random)
+    : m_data_centre(std::move(data_centre)),
+      m_clock(clock),
+      m_random(random) {}
+
+MeshView::Facts MeshView::CurrentFacts() const {
+  std::scoped_lock lock(m_mutex);
+  Facts facts;
+  facts.config = m_known.config;
+  facts.facts = {m_known.config.get(), m_known.lease_end, m_known.confirmed};
+  return facts;
+}
+
+bool MeshView::IsReady() const {
+  std::scoped_lock lock(m_mutex);
+  return m_known.config != nullptr && m_clock.Now() < m_known.lease_end;
+}
+
+void MeshView::FillPoll(PollRequest& request) {
+  std::shared_ptr<const MeshConfig> config;
+  {
+    std::scoped_lock lock(m_mutex);
+    request.cluster = m_known.cluster;
+    request.term = m_known.term;
+    request.config_version = m_known.fleet_version;
+    config = m_known.config;
+  }
+  if (config != nullptr) {
+    request.configuration_version = config->version();
+    for (const auto& [name, spec] : config->services()) {
+      const uint64_t revision =
+          m_services.With(name, [&](ServiceShard& shard) {
+            return shard.routers.try_emplace(name, m_data_centre)
+                .first->second.revision();
+          });
+      request.services.push_back({name, revision});
+    }
+  }
+  const TimePoint now = m_clock.Now();
+  m_accounts.ForEach([&](AccountShard& shard) {
+    std::erase_if(shard.buckets,
+                  [&](const auto& entry) { return entry.second.IsIdle(now); });
+    for (auto& [account, bucket] : shard.buckets) {
+      request.allowances.push_back(bucket.Report(now, account));
+    }
+  });
+}
+
+Result<Done> MeshView::ApplyPoll(TimePoint sent, const PollResponse& response) {
+  {
+    std::scoped_lock lock(m_mutex);
+    const bool other =
+        !m_known.cluster.empty() && response.cluster != m_known.cluster;
+    if (other || response.term < m_known.term) {
+      return Fail(ErrorId::kWrongCluster, response.cluster);
+    }
+  }
+  BOOST_LEAF_CHECK(ApplyConfiguration(sent, response));
+  ApplyMembers(response);
+  ApplyAllowances(sent + response.lease, response);
+  TellNews();
+  return Done{};
+}
+
+Result<Done> MeshView::ApplyConfiguration(TimePoint sent,
+                                          const PollResponse& response) {
+  std::shared_ptr<const MeshConfig> config;
+  if (response.configuration && response.configuration_version > 0) {
+    BOOST_LEAF_ASSIGN(config, ReadMeshConfig(*response.configuration));
+  }
+  std::scoped_lock lock(m_mutex);
+  const uint64_t held =
+      m_known.config == nullptr ? 0 : m_known.config->version();
+  if (response.configuration_version < held) {
+    return Fail(ErrorId::kConflict, "control answered with an old version");
+  }
+  if (config != nullptr && config->version() > held) {
+    LogChange(LogLevel::kInfo, "configuration",
+              {{"version", std::to_string(config->version())},
+               {"before", std::to_string(held)}});
+    m_known.config = std::move(config);
+  }
+  m_known.cluster = response.cluster;
+  m_known.term = response.term;
+  m_known.fleet_version = response.config_version;
+  const bool current =
+      m_known.config != nullptr &&
+      m_known.config->version() == response.configuration_version;
+  if (current) {
+    m_known.lease_end = std::max(m_known.lease_end, sent + response.lease);
+    m_known.confirmed = std::max(m_known.confirmed, sent);
+  }
+  return Done{};
+}
+
+void MeshView::ApplyMembers(const PollResponse& response) {
+  const TimePoint now = m_clock.Now();
+  for (const ServiceUpdate& update : response.services) {
+    m_services.With(update.service, [&](ServiceShard& shard) {
+      shard.routers.try_emplace(update.service, m_data_centre)
+          .first->second.Apply(now, update);
+    });
+  }
+}
+
+void MeshView::ApplyAllowances(TimePoint lease_end,
+                               const PollResponse& response) {
+  const TimePoint now = m_clock.Now();
+  for (const AllowanceGrant& grant : response.allowances) {
+    m_accounts.With(grant.account, [&](AccountShard& shard) {
+      const auto found = shard.buckets.find(grant.account);
+      if (found != shard.buckets.end()) {
+        found->second.Apply(now, grant, lease_end);
+      }
+    });
+  }
+}
+
+bool MeshView::TryTake(const std::string& account, bool first) {
+  const TimePoint now = m_clock.Now();
+  return m_accounts.With(account, [&](AccountShard& shard) {
+    AllowanceBucket& bucket = shard.buckets[account];
+    if (first) {
+      bucket.CountOffer(now);
+    }
+    return bucket.TryTake(now);
+  });
+}
+
+asio::awaitable<std::optional<Duration>> MeshView::TakeAllowance(
+    std::string account) {
+  if (TryTake(account, /*first=*/true)) {
+    co_return std::nullopt;
+  }
+  const auto executor = co_await asio::this_coro::executor;
+  const TimePoint began = m_clock.Now();
+  const bool has_share = m_accounts.With(account, [&](AccountShard& shard) {
+    return shard.buckets[account].HasShare(began);
+  });
+  const TimePoint until =
+      began + (has_share ? kMoreShareWait : kFirstShareWait);
+  while (m_clock.Now() < until) {
+    const auto news = std::make_shared<OneShot<bool>>(executor);
+    {
+      std::scoped_lock lock(m_news_mutex);
+      m_news.push_back(news);
+    }
+    m_poke();
+    co_await news->Wait(until - m_clock.Now());
+    if (TryTake(account, /*first=*/false)) {
+      co_return std::nullopt;
+    }
+  }
+  co_return m_accounts.With(account, [&](AccountShard& shard) {
+    return shard.buckets[account].RetryAfter(m_clock.Now());
+  });
+}
+
+void MeshView::TellNews() {
+  std::vector<std::shared_ptr<OneShot<bool>>> waiting;
+  {
+    std::scoped_lock lock(m_news_mutex);
+    waiting = std::exchange(m_news, {});
+  }
+  for (const auto& news : waiting) {
+    news->Set(true);
+  }
+}
+
+std::optional<Member> MeshView::Choose(const std::string& service,
+                                       const std::set<std::string>& excluded) {
+  const TimePoint now = m_clock.Now();
+  return m_services.With(
+      service, [&](ServiceShard& shard) -> std::optional<Member> {
+        const auto found = shard.routers.find(service);
+        if (found == shard.routers.end()) {
+          return std::nullopt;
+        }
+        return found->second.Choose(now, excluded, m_random);
+      });
+}
+
+void MeshView::FinishCall(const std::string& service,
+                          const std::string& node,
+                          CallResult result,
+                          Duration took) {
+  const TimePoint now = m_clock.Now();
+  m_services.With(service, [&](ServiceShard& shard) {
+    const auto found = shard.routers.find(service);
+    if (found != shard.routers.end()) {
+      found->second.Finish(now, node, result, took);
+    }
+  });
+}
+
+void MeshView::CountRequest(const std::string& service) {
+  m_services.With(service, [&](ServiceShard& shard) {
+    shard.budgets.try_emplace(service, kSavedRetries).first->second.OnCall();
+  });
+}
+
+bool MeshView::TryRetry(const std::string& service) {
+  return m_services.With(service, [&](ServiceShard& shard) {
+    return shard.budgets.try_emplace(service, kSavedRetries)
+        .first->second.TryRetry();
+  });
+}
+
+std::string MeshView::ServiceOf(const MeshRoute& route) {
+  const double point =
+      static_cast<double>(m_random.Below(kSplitSteps)) / kSplitSteps;
+  return route.ServiceAt(point);
+}
+
+}  // namespace rosemarywinch
--- a/src/programs/settings_reader.cc
+++ b/src/programs/settings_reader.cc
@@ -71,11 +71,8 @@
 
 std::vector<Error> SettingsReader::Apply(
     const std::map<std::string, std::string>& env) {
-  for (const char* setting : {kFileSetting, kSupervisorFile}) {
-    const auto file = env.find(VariableName(setting));
-    if (m_file.empty() && file != env.end()) {
-      m_file = file->second;
-    }
+  if (m_file.empty()) {
+    m_file = SettingsFileOf(env);
   }
   if (!m_file.empty()) {
     ApplyFile(m_file);
@@ -183,6 +180,28 @@
   return found == m_bindings.end() ? nullptr : &*found;
 }
 
+std::string SettingsFileOf(const std::map<std::string, std::string>& env) {
+  for (const char* setting : {kFileSetting, kSupervisorFile}) {
+    const auto file = env.find(VariableName(setting));
+    if (file != env.end()) {
+      return file->second;
+    }
+  }
+  return "";
+}
+
+std::optional<std::string> ReadFileSetting(const std::string& path,
+                                           const std::string& name) {
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) {
+    const size_t equals = line.find('=');
+    if (equals != std::string::npos && Trim(line.substr(0, equals)) == name) {
+      return Trim(line.substr(equals + 1));
+    }
+  }
+  return std::nullopt;
+}
+
 std::map<std::string, std::string> ReadEnvironment() {
   std::map<std::string, std::string> env;
   for (char** entry = environ; *entry != nullptr; ++entry) {
