Hold accounts to their quota by few tokens, asked for as they are used

Shares of the rate suit nodes with much demand each; here thirteen nodes see two or three requests a second of an account, so chance overruns a share while others have room. While control had no leader, shares shrank with every failed poll.

Change: QuotaPool at the leader and QuotaCache at nodes; a fallback rate carries nodes over a silence. Elections of the mesh start after 0.5 s.

--- a/gen/rosemarywinch/schema/control.h
+++ b/gen/rosemarywinch/schema/control.h
@@ -282,6 +282,88 @@
   visit(kAllowanceGrantFields[4], self.grant, other.grant);
 }
 
+struct QuotaReport {
+  std::string account;
+  double demand = 0;
+  double held = 0;
+  double wanted = 0;
+  double returned = 0;
+  double waiting = 0;
+
+  bool operator==(const QuotaReport&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 6> kQuotaReportFields{{
+    {"account", "", 0, 0, "", "", "", {}},
+    {"demand", "", 0, 0, "", "", "", {}},
+    {"held", "", 0, 0, "", "", "", {}},
+    {"wanted", "", 0, 0, "", "", "", {}},
+    {"returned", "", 0, 0, "", "", "", {}},
+    {"waiting", "", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, QuotaReport>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kQuotaReportFields[0], self.account);
+  visit(kQuotaReportFields[1], self.demand);
+  visit(kQuotaReportFields[2], self.held);
+  visit(kQuotaReportFields[3], self.wanted);
+  visit(kQuotaReportFields[4], self.returned);
+  visit(kQuotaReportFields[5], self.waiting);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, QuotaReport> && SameType<Other, QuotaReport>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kQuotaReportFields[0], self.account, other.account);
+  visit(kQuotaReportFields[1], self.demand, other.demand);
+  visit(kQuotaReportFields[2], self.held, other.held);
+  visit(kQuotaReportFields[3], self.wanted, other.wanted);
+  visit(kQuotaReportFields[4], self.returned, other.returned);
+  visit(kQuotaReportFields[5], self.waiting, other.waiting);
+}
+
+struct QuotaGrant {
+  std::string account;
+  double tokens = 0;
+  double fallback_rate = 0;
+  bool dry = false;
+
+  bool operator==(const QuotaGrant&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 4> kQuotaGrantFields{{
+    {"account", "", 0, 0, "", "", "", {}},
+    {"tokens", "", 0, 0, "", "", "", {}},
+    {"fallback_rate", "", 0, 0, "", "", "", {}},
+    {"dry", "", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, QuotaGrant>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kQuotaGrantFields[0], self.account);
+  visit(kQuotaGrantFields[1], self.tokens);
+  visit(kQuotaGrantFields[2], self.fallback_rate);
+  visit(kQuotaGrantFields[3], self.dry);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, QuotaGrant> && SameType<Other, QuotaGrant>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kQuotaGrantFields[0], self.account, other.account);
+  visit(kQuotaGrantFields[1], self.tokens, other.tokens);
+  visit(kQuotaGrantFields[2], self.fallback_rate, other.fallback_rate);
+  visit(kQuotaGrantFields[3], self.dry, other.dry);
+}
+
 struct PollRequest {
   uint32_t protocol_version = 0;
   std::string cluster;
@@ -294,11 +376,12 @@
   std::vector<ServiceCursor> services;
   std::vector<AllowanceReport> allowances;
   uint64_t configuration_version = 0;
+  std::vector<QuotaReport> quotas;
 
   bool operator==(const PollRequest&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 11> kPollRequestFields{{
+inline constexpr std::array<FieldInfo, 12> kPollRequestFields{{
     {"protocol_version", "", 0, 0, "", "", "", {}},
     {"cluster", "", 0, 0, "", "", "", {}},
     {"node", "", 0, 0, "", "", "", {}},
@@ -310,6 +393,7 @@
     {"services", "", 0, 0, "", "", "", {}},
     {"allowances", "", 0, 0, "", "", "", {}},
     {"configuration_version", "", 0, 0, "", "", "", {}},
+    {"quotas", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -327,6 +411,7 @@
   visit(kPollRequestFields[8], self.services);
   visit(kPollRequestFields[9], self.allowances);
   visit(kPollRequestFields[10], self.configuration_version);
+  visit(kPollRequestFields[11], self.quotas);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -346,6 +431,7 @@
   visit(kPollRequestFields[9], self.allowances, other.allowances);
   visit(kPollRequestFields[10], self.configuration_version,
         other.configuration_version);
+  visit(kPollRequestFields[11], self.quotas, other.quotas);
 }
 
 struct PollResponse {
@@ -361,11 +447,12 @@
   uint64_t configuration_version = 0;
   std::optional<std::string> configuration;
   std::vector<uint32_t> replicas;
+  std::vector<QuotaGrant> quotas;
 
   bool operator==(const PollResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 12> kPollResponseFields{{
+inline constexpr std::array<FieldInfo, 13> kPollResponseFields{{
     {"cluster", "", 0, 0, "", "", "", {}},
     {"term", "", 0, 0, "", "", "", {}},
     {"sequence", "", 0, 0, "", "", "", {}},
@@ -378,6 +465,7 @@
     {"configuration_version", "", 0, 0, "", "", "", {}},
     {"configuration", "", 0, 0, "", "", "", {}},
     {"replicas", "", 0, 0, "", "", "", {}},
+    {"quotas", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -396,6 +484,7 @@
   visit(kPollResponseFields[9], self.configuration_version);
   visit(kPollResponseFields[10], self.configuration);
   visit(kPollResponseFields[11], self.replicas);
+  visit(kPollResponseFields[12], self.quotas);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -416,6 +505,7 @@
         other.configuration_version);
   visit(kPollResponseFields[10], self.configuration, other.configuration);
   visit(kPollResponseFields[11], self.replicas, other.replicas);
+  visit(kPollResponseFields[12], self.quotas, other.quotas);
 }
 
 struct PollReply {
--- a/gen/rosemarywinch/schema/settings.h
+++ b/gen/rosemarywinch/schema/settings.h
@@ -520,11 +520,14 @@
   bool founding = false;
   uint32_t tolerated_losses = 1;
   Duration withdrawal_limit{5000};
+  double quota_window = 5;
+  double quota_overage = 0.1;
+  double quota_slack = 20;
 
   bool operator==(const MeshControlSettings&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 9> kMeshControlSettingsFields{{
+inline constexpr std::array<FieldInfo, 12> kMeshControlSettingsFields{{
     {"node_name", "", 0, 0, "", "name of this replica", "", {}},
     {"operator_address", "", 0, 0, "", "HOST:PORT for operators", "", {}},
     {"peer_address",
@@ -569,6 +572,30 @@
      "time within which a withdrawn key must stop working everywhere",
      "",
      {}},
+    {"quota_window",
+     "s",
+     0.1,
+     3600,
+     "5",
+     "span over which an account is held to its rate and burst",
+     "",
+     {}},
+    {"quota_overage",
+     "",
+     0,
+     1,
+     "0.1",
+     "part of what an account may send in a span that it may exceed",
+     "",
+     {}},
+    {"quota_slack",
+     "requests",
+     0,
+     100000,
+     "20",
+     "requests beside that part that an account may exceed",
+     "",
+     {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -584,6 +611,9 @@
   visit(kMeshControlSettingsFields[6], self.founding);
   visit(kMeshControlSettingsFields[7], self.tolerated_losses);
   visit(kMeshControlSettingsFields[8], self.withdrawal_limit);
+  visit(kMeshControlSettingsFields[9], self.quota_window);
+  visit(kMeshControlSettingsFields[10], self.quota_overage);
+  visit(kMeshControlSettingsFields[11], self.quota_slack);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -605,6 +635,10 @@
         other.tolerated_losses);
   visit(kMeshControlSettingsFields[8], self.withdrawal_limit,
         other.withdrawal_limit);
+  visit(kMeshControlSettingsFields[9], self.quota_window, other.quota_window);
+  visit(kMeshControlSettingsFields[10], self.quota_overage,
+        other.quota_overage);
+  visit(kMeshControlSettingsFields[11], self.quota_slack, other.quota_slack);
 }
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -10,6 +10,7 @@
 #include "rosemarywinch/core/sharded.h"
 #include "rosemarywinch/decisions/control/allowance_lender.h"
 #include "rosemarywinch/decisions/control/membership_directory.h"
+#include "rosemarywinch/decisions/control/quota_pool.h"
 #include "rosemarywinch/decisions/control/version_ledger.h"
 #include "rosemarywinch/decisions/mesh/mesh_config.h"
 #include "rosemarywinch/programs/consensus_driver.h"
@@ -21,7 +22,7 @@
 /// allowances are rebuilt by each leader and kept in shards under own locks.
 class ControlService : public ConsensusListener {
  public:
-  explicit ControlService(Duration node_lease);
+  explicit ControlService(Duration node_lease, QuotaTolerance tolerance = {});
 
   /// Gives the service its log; must be called before the first request.
   void Attach(ConsensusDriver& driver) { m_driver = &driver; }
@@ -58,6 +59,7 @@
   struct LenderShard {
     TimePoint since;
     std::map<std::string, AllowanceLender> lenders;
+    std::map<std::string, QuotaPool> pools;
   };
 
   void AddConfig(const FleetState& state,
@@ -73,9 +75,13 @@
   void AddAllowances(const ConsensusDriver::LeaderView& view,
                      const PollRequest& request,
                      PollResponse& response);
+  void AddQuotas(const ConsensusDriver::LeaderView& view,
+                 const PollRequest& request,
+                 PollResponse& response);
   CommandResponse WaitInForce(CommandResult result, Duration limit);
 
   const Duration m_lease;
+  const QuotaTolerance m_tolerance;
   ConsensusDriver* m_driver = nullptr;
   Ledger m_ledger;
   Directory m_directory;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -12,7 +12,7 @@
 
 #include "rosemarywinch/adapters/async/one_shot.h"
 #include "rosemarywinch/core/sharded.h"
-#include "rosemarywinch/decisions/control/allowance_bucket.h"
+#include "rosemarywinch/decisions/control/quota_cache.h"
 #include "rosemarywinch/decisions/mesh/entry_check.h"
 #include "rosemarywinch/decisions/traffic/retry_budget.h"
 #include "rosemarywinch/decisions/traffic/router.h"
@@ -23,7 +23,7 @@
 namespace rosemarywinch {
 
 /// What a node knows of the mesh: the configuration and how fresh it is, the
-/// members of each service, and its shares of the accounts' allowances.
+/// members of each service, and tokens of the accounts' quotas.
 /// Thread-safe; each part is a shard under its own lock.
 class MeshView {
  public:
@@ -48,7 +48,7 @@
 
   /// Counts a request of `account` and takes its token, waiting a little for
   /// control to lend more. Returns how long to wait when there is none.
-  asio::awaitable<std::optional<Duration>> TakeAllowance(std::string account);
+  asio::awaitable<std::optional<Duration>> TakeToken(std::string account);
 
   /// Chooses a member of `service` that is not in `excluded`.
   std::optional<Member> Choose(const std::string& service,
@@ -75,7 +75,7 @@
     std::map<std::string, RetryBudget> budgets;
   };
   struct AccountShard {
-    std::map<std::string, AllowanceBucket> buckets;
+    std::map<std::string, QuotaCache> quotas;
   };
   struct Known {
     std::string cluster;
@@ -89,8 +89,10 @@
   Result<Done> ApplyConfiguration(TimePoint sent,
                                   const PollResponse& response);
   void ApplyMembers(const PollResponse& response);
-  void ApplyAllowances(TimePoint lease_end, const PollResponse& response);
+  void ApplyQuotas(TimePoint sent, const PollResponse& response);
   bool TryTake(const std::string& account, bool first);
+  void CountWaiting(const std::string& account, void (QuotaCache::*count)());
+  bool IsDry(const std::string& account);
   void TellNews();
 
   const std::string m_data_centre;
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -27,8 +27,9 @@
 
 }  // namespace
 
-ControlService::ControlService(Duration node_lease)
+ControlService::ControlService(Duration node_lease, QuotaTolerance tolerance)
     : m_lease(node_lease),
+      m_tolerance(tolerance),
       m_ledger(node_lease),
       m_directory(LessorWait(node_lease)) {}
 
@@ -50,6 +51,7 @@
   AddConfiguration(view, request, response);
   AddMembers(view.now, request, response);
   AddAllowances(view, request, response);
+  AddQuotas(view, request, response);
   std::scoped_lock lock(m_ledger.mutex);
   m_ledger.versions.OnPoll(view.now, request.node, request.config_version);
   m_ledger.changed.notify_all();
@@ -99,6 +101,7 @@
   m_lenders.ForEach([&](LenderShard& shard) {
     shard.since = now;
     shard.lenders.clear();
+    shard.pools.clear();
   });
 }
 
@@ -195,6 +198,22 @@
   }
 }
 
+void ControlService::AddQuotas(const ConsensusDriver::LeaderView& view,
+                               const PollRequest& request,
+                               PollResponse& response) {
+  for (const QuotaReport& report : request.quotas) {
+    const AllowanceLimit limit = LimitOf(*view.state, report.account);
+    m_lenders.With(report.account, [&](LenderShard& shard) {
+      QuotaPool& pool =
+          shard.pools
+              .try_emplace(report.account, view.now, m_lease, m_tolerance)
+              .first->second;
+      response.quotas.push_back(
+          pool.OnReport(view.now, limit, request.node, report));
+    });
+  }
+}
+
 CommandResponse ControlService::WaitInForce(CommandResult result,
                                             Duration limit) {
   const auto deadline =
--- a/src/programs/mesh/caller_entry.cc
+++ b/src/programs/mesh/caller_entry.cc
@@ -82,7 +82,7 @@
   if (let_in.account != nullptr) {
     passage.hop.account = let_in.account->name;
     if (let_in.account->spec.rate > 0) {
-      const auto wait = co_await m_view.TakeAllowance(let_in.account->name);
+      const auto wait = co_await m_view.TakeToken(let_in.account->name);
       if (wait) {
         co_return Refuse(caller.request_id,
                          Error{ErrorId::kRateExceeded, passage.hop.account},
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -29,6 +29,9 @@
 constexpr int64_t kPercent = 100;
 // Entries hold whole configurations, so the log is kept short.
 constexpr uint64_t kSnapshotEntries = 24;
+// A leader that falls silent is replaced within about a second.
+constexpr Duration kHeartbeat{100};
+constexpr Duration kElectionTimeout{500};
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kPreconditionFailed = 412;
@@ -65,7 +68,9 @@
         m_links(m_runtime.context()),
         m_transport(m_links, PortOf(settings.peer_address)),
         m_storage(settings.data_folder),
-        m_service(settings.withdrawal_limit * kLeasePercent / kPercent),
+        m_service(settings.withdrawal_limit * kLeasePercent / kPercent,
+                  {settings.quota_window, settings.quota_overage,
+                   settings.quota_slack}),
         m_driver(DriverOptions(settings),
                  m_clock,
                  m_random,
@@ -113,6 +118,8 @@
     ConsensusDriver::Options options;
     options.snapshot_entries = kSnapshotEntries;
     options.replica.replica_id = HostNumber(settings.peer_address);
+    options.replica.heartbeat = kHeartbeat;
+    options.replica.election_timeout = kElectionTimeout;
     options.replica.may_found = settings.founding;
     options.replica.max_voters = 2 * settings.tolerated_losses + 1;
     std::set<uint32_t> ids;
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -10,9 +10,8 @@
 
 namespace {
 
-// Longest wait for control to lend a larger share of an allowance.
-constexpr Duration kFirstShareWait{200};
-constexpr Duration kMoreShareWait{60};
+// Longest wait for control to lend tokens.
+constexpr Duration kTokenWait{200};
 // Retries that one node may save up for a service: all nodes together stay
 // well below the slack of the fleet's budget.
 constexpr double kSavedRetries = 2;
@@ -60,10 +59,10 @@
   }
   const TimePoint now = m_clock.Now();
   m_accounts.ForEach([&](AccountShard& shard) {
-    std::erase_if(shard.buckets,
+    std::erase_if(shard.quotas,
                   [&](const auto& entry) { return entry.second.IsIdle(now); });
-    for (auto& [account, bucket] : shard.buckets) {
-      request.allowances.push_back(bucket.Report(now, account));
+    for (auto& [account, quota] : shard.quotas) {
+      request.quotas.push_back(quota.Report(now, account));
     }
   });
 }
@@ -79,7 +78,7 @@
   }
   BOOST_LEAF_CHECK(ApplyConfiguration(sent, response));
   ApplyMembers(response);
-  ApplyAllowances(sent + response.lease, response);
+  ApplyQuotas(sent, response);
   TellNews();
   return Done{};
 }
@@ -125,14 +124,13 @@
   }
 }
 
-void MeshView::ApplyAllowances(TimePoint lease_end,
-                               const PollResponse& response) {
+void MeshView::ApplyQuotas(TimePoint sent, const PollResponse& response) {
   const TimePoint now = m_clock.Now();
-  for (const AllowanceGrant& grant : response.allowances) {
+  for (const QuotaGrant& grant : response.quotas) {
     m_accounts.With(grant.account, [&](AccountShard& shard) {
-      const auto found = shard.buckets.find(grant.account);
-      if (found != shard.buckets.end()) {
-        found->second.Apply(now, grant, lease_end);
+      const auto found = shard.quotas.find(grant.account);
+      if (found != shard.quotas.end()) {
+        found->second.Apply(now, sent, grant, sent + response.lease);
       }
     });
   }
@@ -141,27 +139,38 @@
 bool MeshView::TryTake(const std::string& account, bool first) {
   const TimePoint now = m_clock.Now();
   return m_accounts.With(account, [&](AccountShard& shard) {
-    AllowanceBucket& bucket = shard.buckets[account];
+    QuotaCache& quota = shard.quotas[account];
     if (first) {
-      bucket.CountOffer(now);
+      quota.CountOffer(now);
     }
-    return bucket.TryTake(now);
+    return quota.TryTake(now);
   });
 }
 
-asio::awaitable<std::optional<Duration>> MeshView::TakeAllowance(
+void MeshView::CountWaiting(const std::string& account,
+                            void (QuotaCache::*count)()) {
+  m_accounts.With(account, [&](AccountShard& shard) {
+    (shard.quotas[account].*count)();
+  });
+}
+
+bool MeshView::IsDry(const std::string& account) {
+  const TimePoint now = m_clock.Now();
+  return m_accounts.With(account, [&](AccountShard& shard) {
+    return shard.quotas[account].IsDry(now);
+  });
+}
+
+asio::awaitable<std::optional<Duration>> MeshView::TakeToken(
     std::string account) {
   if (TryTake(account, /*first=*/true)) {
     co_return std::nullopt;
   }
   const auto executor = co_await asio::this_coro::executor;
-  const TimePoint began = m_clock.Now();
-  const bool has_share = m_accounts.With(account, [&](AccountShard& shard) {
-    return shard.buckets[account].HasShare(began);
-  });
-  const TimePoint until =
-      began + (has_share ? kMoreShareWait : kFirstShareWait);
-  while (m_clock.Now() < until) {
+  const TimePoint until = m_clock.Now() + kTokenWait;
+  CountWaiting(account, &QuotaCache::BeginWait);
+  bool taken = false;
+  while (!taken && m_clock.Now() < until && !IsDry(account)) {
     const auto news = std::make_shared<OneShot<bool>>(executor);
     {
       std::scoped_lock lock(m_news_mutex);
@@ -169,12 +178,14 @@
     }
     m_poke();
     co_await news->Wait(until - m_clock.Now());
-    if (TryTake(account, /*first=*/false)) {
-      co_return std::nullopt;
-    }
+    taken = TryTake(account, /*first=*/false);
+  }
+  CountWaiting(account, &QuotaCache::EndWait);
+  if (taken) {
+    co_return std::nullopt;
   }
   co_return m_accounts.With(account, [&](AccountShard& shard) {
-    return shard.buckets[account].RetryAfter(m_clock.Now());
+    return shard.quotas[account].RetryAfter();
   });
 }
 
--- /dev/null
+++ b/tests/unit-mesh-config.cpp
@@ -0,0 +1,211 @@
+#define BOOST_TEST_MODULE mesh_config
+#include <boost/test/unit_test.hpp>
+
+#include "rosemarywinch/adapters/mesh_codec.h"
+#include "rosemarywinch/decisions/fleet/fleet_store.h"
+#include "rosemarywinch/decisions/mesh/backend_presence.h"
+#include "rosemarywinch/decisions/mesh/entry_check.h"
+
+using namespace rosemarywinch;
+
+namespace {
+
+Configuration Sample() {
+  Configuration configuration;
+  configuration.version = 4;
+  configuration.services["shop"] = {};
+  configuration.services["till"] = {};
+  RouteSpec route;
+  route.hostname = "a.example";
+  route.path_prefix = "/x/";
+  route.timeout = {1'000};
+  route.target_latency = {500};
+  route.service = "shop";
+  configuration.routes["one"] = route;
+  route.path_prefix = "/x/y/";
+  route.service = "till";
+  route.open = true;
+  configuration.routes["two"] = route;
+  configuration.accounts["ann"].keys = {"k1", "k2"};
+  return configuration;
+}
+
+bool IsValid(const Configuration& configuration) {
+  const auto built = Capture([&] { return MeshConfig::Build(configuration); });
+  return std::holds_alternative<std::shared_ptr<const MeshConfig>>(built);
+}
+
+std::shared_ptr<const MeshConfig> Built() {
+  return std::get<std::shared_ptr<const MeshConfig>>(
+      Capture([] { return MeshConfig::Build(Sample()); }));
+}
+
+ErrorId ReasonOf(const EntryDecision& decision) {
+  const auto* refusal = std::get_if<TurnAway>(&decision);
+  return refusal == nullptr ? ErrorId::kNone : refusal->reason;
+}
+
+BackendReport Report(uint64_t sequence, const char* state = "ready") {
+  BackendReport report;
+  report.service = "shop";
+  report.address = "10.0.0.1:80";
+  report.state = state;
+  report.slots = 8;
+  report.sequence = sequence;
+  report.born = Duration{1'000};
+  return report;
+}
+
+CommandResult Put(FleetState& state,
+                  uint64_t version,
+                  uint64_t base,
+                  const std::string& document) {
+  FleetCommand command;
+  command.change = PutConfiguration{version, base, document, document};
+  return ApplyCommand(state, command);
+}
+
+constexpr TimePoint kNow{50'000};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins) {
+  const auto config = Built();
+  BOOST_TEST(config->FindRoute("a.example", "/x/1")->name == "one");
+  BOOST_TEST(config->FindRoute("A.example:80", "/x/y/1")->name == "two");
+  BOOST_TEST(config->FindRoute("a.example", "/x/y")->name == "one");
+  BOOST_TEST(config->FindRoute("a.example", "/z/") == nullptr);
+  BOOST_TEST(config->FindRoute("b.example", "/x/1") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(faults_of_a_configuration_are_refused) {
+  BOOST_TEST(IsValid(Sample()));
+  const auto broken = [](auto change) {
+    Configuration configuration = Sample();
+    change(configuration);
+    return !IsValid(configuration);
+  };
+  BOOST_TEST(broken([](auto& c) { c.routes["one"].service = "gone"; }));
+  BOOST_TEST(broken([](auto& c) { c.routes["one"].timeout = {0}; }));
+  BOOST_TEST(broken([](auto& c) { c.routes["one"].service.reset(); }));
+  BOOST_TEST(broken([](auto& c) {
+    c.routes["one"].service.reset();
+    c.routes["one"].split = {{"shop", 0}, {"till", 0}};
+  }));
+  BOOST_TEST(broken([](auto& c) {
+    c.routes["one"].service.reset();
+    c.routes["one"].split = {{"shop", -1}, {"till", 2}};
+  }));
+  BOOST_TEST(
+      broken([](auto& c) { c.routes["one"].target_latency = {61'000}; }));
+  BOOST_TEST(broken([](auto& c) { c.accounts["bob"].keys = {"k2"}; }));
+  BOOST_TEST(!broken([](auto& c) { c.accounts["bob"].keys = {"k3"}; }));
+}
+
+BOOST_AUTO_TEST_CASE(text_that_is_cut_short_is_refused) {
+  const auto read = Capture(
+      [] { return ReadMeshConfig(R"({"version":4,"routes":{"one":)"); });
+  BOOST_TEST((std::get<Error>(read).id == ErrorId::kMalformedMessage));
+}
+
+BOOST_AUTO_TEST_CASE(a_split_follows_its_weights) {
+  MeshRoute route;
+  route.parts = {{"shop", 90}, {"till", 10}};
+  BOOST_TEST(route.ServiceAt(0.0) == "shop");
+  BOOST_TEST(route.ServiceAt(0.89) == "shop");
+  BOOST_TEST(route.ServiceAt(0.91) == "till");
+}
+
+BOOST_AUTO_TEST_CASE(entry_asks_for_a_live_key_on_closed_routes) {
+  const auto config = Built();
+  const EntryFacts facts{config.get(), kNow + Duration{1'000}, kNow};
+  const auto reason = [&](const EntryFacts& known, EntryRequest request) {
+    return ReasonOf(CheckEntry(kNow, known, request));
+  };
+  BOOST_TEST((reason(facts, {"a.example", "/x/1", "k2"}) == ErrorId::kNone));
+  BOOST_TEST((reason(facts, {"a.example", "/x/y/1", {}}) == ErrorId::kNone));
+  BOOST_TEST((reason(facts, {"a.example", "/x/1", {}}) == ErrorId::kNoKey));
+  BOOST_TEST(
+      (reason(facts, {"a.example", "/x/1", "k9"}) == ErrorId::kWrongKey));
+  BOOST_TEST(
+      (reason(facts, {"a.example", "/z/", "k2"}) == ErrorId::kUnknownRoute));
+}
+
+BOOST_AUTO_TEST_CASE(a_node_with_old_knowledge_denies_nothing) {
+  const auto config = Built();
+  const EntryFacts old{config.get(), kNow + Duration{1'000},
+                       kNow - Duration{2'000}};
+  const EntryFacts ended{config.get(), kNow, kNow};
+  const auto reason = [&](const EntryFacts& known, EntryRequest request) {
+    return ReasonOf(CheckEntry(kNow, known, request));
+  };
+  BOOST_TEST((reason(old, {"a.example", "/z/", {}}) == ErrorId::kCutOff));
+  BOOST_TEST((reason(old, {"a.example", "/x/1", "k9"}) == ErrorId::kCutOff));
+  BOOST_TEST((reason(old, {"a.example", "/x/1", "k1"}) == ErrorId::kNone));
+  BOOST_TEST((reason(ended, {"a.example", "/x/1", "k1"}) == ErrorId::kCutOff));
+  BOOST_TEST((reason(ended, {"a.example", "/x/y/1", {}}) == ErrorId::kNone));
+  BOOST_TEST((reason({}, {"a.example", "/x/1", "k1"}) == ErrorId::kCutOff));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_report_of_an_earlier_life_changes_nothing) {
+  BackendPresence presence("10.0.0.1:80", {6'000});
+  BackendReport first = Report(7);
+  BOOST_TEST((presence.OnReport(kNow, "i-1", first) == ReportVerdict::kTaken));
+  BackendReport second = Report(1);
+  second.born = Duration{9'000};
+  BOOST_TEST((presence.OnReport(kNow, "i-2", second) == ReportVerdict::kTaken));
+  first.sequence = 8;
+  BOOST_TEST((presence.OnReport(kNow, "i-1", first) == ReportVerdict::kLate));
+  BOOST_TEST(presence.Current(kNow)->id == "i-2");
+}
+
+BOOST_AUTO_TEST_CASE(a_new_life_under_the_same_id_counts_anew) {
+  BackendPresence presence("10.0.0.1:80", {6'000});
+  presence.OnReport(kNow, "i-1", Report(9, "leaving"));
+  BackendReport reborn = Report(1);
+  reborn.born = Duration{9'000};
+  BOOST_TEST((presence.OnReport(kNow, "i-1", reborn) == ReportVerdict::kTaken));
+  BOOST_TEST((presence.Current(kNow)->state == BackendState::kReady));
+}
+
+BOOST_AUTO_TEST_CASE(leaving_is_final_for_a_life) {
+  BackendPresence presence("10.0.0.1:80", {6'000});
+  presence.OnReport(kNow, "i-1", Report(1));
+  presence.OnWithdraw("i-1");
+  presence.OnReport(kNow, "i-1", Report(2));
+  BOOST_TEST((presence.Current(kNow)->state == BackendState::kLeaving));
+}
+
+BOOST_AUTO_TEST_CASE(reports_by_another_writer_name_nothing) {
+  BackendPresence presence("10.0.0.1:80", {6'000});
+  BackendReport strange = Report(1, "sleeping");
+  BOOST_TEST(
+      (presence.OnReport(kNow, "i-1", strange) == ReportVerdict::kInvalid));
+  BackendReport elsewhere = Report(1);
+  elsewhere.address = "10.0.0.2:80";
+  BOOST_TEST(
+      (presence.OnReport(kNow, "i-1", elsewhere) == ReportVerdict::kInvalid));
+  BackendReport partial = Report(1);
+  partial.slots.reset();
+  BOOST_TEST(
+      (presence.OnReport(kNow, "i-1", partial) == ReportVerdict::kInvalid));
+  BOOST_TEST(!presence.Current(kNow));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_accepted_on_top_of_its_base_only) {
+  FleetState state;
+  BOOST_TEST((Put(state, 3, 0, "a").error == ErrorId::kNone));
+  BOOST_TEST((Put(state, 5, 0, "b").error == ErrorId::kConflict));
+  BOOST_TEST((Put(state, 3, 3, "b").error == ErrorId::kBadValue));
+  BOOST_TEST((Put(state, 5, 3, "b").error == ErrorId::kNone));
+  BOOST_TEST(state.configuration.document == "b");
+}
+
+BOOST_AUTO_TEST_CASE(an_accepted_configuration_sent_again_is_acknowledged) {
+  FleetState state;
+  Put(state, 3, 0, "a");
+  Put(state, 5, 3, "b");
+  BOOST_TEST((Put(state, 3, 0, "a").error == ErrorId::kNone));
+  BOOST_TEST((Put(state, 5, 3, "c").error == ErrorId::kConflict));
+  BOOST_TEST(state.configuration.document == "b");
+}
