Retry failed disks in the process; trust members' own word of their load

Change: retries earn 4 % of the requests, two saved; a replica whose disk refuses a write is mute and starts anew from the disk twice a second; answers carry the member's load, and near members are used while they have room and give no trouble.

--- a/include/rosemarywinch/decisions/traffic/admission_queue.h
+++ b/include/rosemarywinch/decisions/traffic/admission_queue.h
@@ -24,9 +24,9 @@
   uint32_t weight = 1;
   /// Part of a request that the fleet has already let in.
   bool nested = false;
-  /// Urgency that goes before the class, 0 first; nested calls go before all.
-  std::optional<uint32_t> rank;
   TimePoint deadline;
+  /// Urgency that goes before the class, 0 first; nested calls go before all.
+  std::optional<uint32_t> rank = std::nullopt;
 };
 
 /// What became of a ticket.
--- a/include/rosemarywinch/decisions/traffic/retry_budget.h
+++ b/include/rosemarywinch/decisions/traffic/retry_budget.h
@@ -14,11 +14,11 @@
   /// Retries that may be saved up.
   static constexpr double kMaxSaved = 10;
 
-  explicit RetryBudget(double max_saved = kMaxSaved)
-      : m_max_saved(max_saved), m_saved(max_saved) {}
+  explicit RetryBudget(double share = kRetryShare, double max_saved = kMaxSaved)
+      : m_share(share), m_max_saved(max_saved), m_saved(max_saved) {}
 
   /// Counts a first attempt.
-  void OnCall() { m_saved = std::min(m_max_saved, m_saved + kRetryShare); }
+  void OnCall() { m_saved = std::min(m_max_saved, m_saved + m_share); }
 
   /// Takes one retry; false when the share is used up.
   bool TryRetry() {
@@ -30,6 +30,7 @@
   }
 
  private:
+  double m_share;
   double m_max_saved;
   double m_saved;
 };
--- a/include/rosemarywinch/decisions/traffic/router.h
+++ b/include/rosemarywinch/decisions/traffic/router.h
@@ -24,6 +24,12 @@
   kFailed,
 };
 
+/// What a member said of its load with an answer.
+struct LoadReport {
+  uint32_t in_flight = 0;
+  uint32_t waiting = 0;
+};
+
 /// Chooses members of one service from what this node sees of them. The
 /// caller serialises all calls.
 class Router {
@@ -50,7 +56,8 @@
   void Finish(TimePoint now,
               const std::string& node,
               CallResult result,
-              Duration took);
+              Duration took,
+              std::optional<LoadReport> load = std::nullopt);
 
   uint64_t revision() const { return m_revision; }
   size_t size() const { return m_members.size(); }
@@ -63,9 +70,17 @@
     double mean_ms = 0;
     uint32_t failures = 0;
     double refused_part = 0;
+    double failed_part = 0;
     TimePoint ejected_until;
+    /// The member's own word of its load, and the calls begun here since.
+    std::optional<LoadReport> load;
+    uint32_t begun_since_load = 0;
+    TimePoint load_time;
   };
 
+  bool HasRoom(TimePoint now, const Record& record) const;
+  double Usable(TimePoint now, const Record& record) const;
+
   static bool TakesWork(const Record& record);
   double Load(TimePoint now, const Record& record) const;
   std::vector<Record*> Candidates(TimePoint now,
--- a/include/rosemarywinch/programs/consensus_driver.h
+++ b/include/rosemarywinch/programs/consensus_driver.h
@@ -96,6 +96,9 @@
   };
 
   void TickLoop();
+  Result<Done> Load();
+  void StopIfFailed(const Outcome<Done>& written);
+  void RetryDisk();
   void CarryOut(const consensus::Effects& effects);
   void CarryOut(const consensus::SaveHardState& effect);
   void CarryOut(const consensus::AppendEntries& effect);
@@ -124,6 +127,8 @@
   FleetState m_state;
   std::shared_ptr<const FleetState> m_published;
   std::map<uint64_t, Waiter> m_waiters;
+  bool m_disk_failed = false;
+  TimePoint m_disk_retry;
   bool m_stopping = false;
   std::thread m_ticker;
 };
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -56,7 +56,8 @@
   void FinishCall(const std::string& service,
                   const std::string& node,
                   CallResult result,
-                  Duration took);
+                  Duration took,
+                  std::optional<LoadReport> load);
 
   /// Counts a request for `service` that a retry may be earned by.
   void CountRequest(const std::string& service);
--- a/src/decisions/traffic/router.cc
+++ b/src/decisions/traffic/router.cc
@@ -17,6 +17,12 @@
 // The own data centre keeps the traffic until it is this much busier.
 constexpr double kSpillRatio = 2.0;
 constexpr double kSpillLoad = 0.7;
+// A member's word of its load is believed for this long.
+constexpr Duration kLoadAge{2'000};
+// A member of the own data centre is used up to this part of its slots, and as
+// long as it refuses or fails no more than this part of its calls.
+constexpr double kNearUse = 0.85;
+constexpr double kNearTrouble = 0.15;
 
 }  // namespace
 
@@ -62,6 +68,7 @@
     }
   }
   ++best->in_flight;
+  ++best->begun_since_load;
   return best->member;
 }
 
@@ -77,13 +84,21 @@
 void Router::Finish(TimePoint now,
                     const std::string& node,
                     CallResult result,
-                    Duration took) {
+                    Duration took,
+                    std::optional<LoadReport> load) {
   const auto found = m_members.find(node);
   if (found == m_members.end()) {
     return;
   }
   Record& record = found->second;
   record.in_flight -= std::min<uint32_t>(record.in_flight, 1);
+  if (load) {
+    record.load = load;
+    record.load_time = now;
+    record.begun_since_load = 0;
+  }
+  const double failed = result == CallResult::kFailed ? 1 : 0;
+  record.failed_part += kMeanWeight * (failed - record.failed_part);
   const double refused = result == CallResult::kRefused ? 1 : 0;
   record.refused_part += kMeanWeight * (refused - record.refused_part);
   if (result == CallResult::kFailed) {
@@ -103,14 +118,39 @@
          record.member.state == BackendState::kStarting;
 }
 
-double Router::Load(TimePoint now, const Record& record) const {
+// Slots that the member can use well at the moment.
+double Router::Usable(TimePoint now, const Record& record) const {
   const double slots = std::max<uint32_t>(1, record.member.slots);
   const double age = (now - record.first_seen).Seconds() / kSlowStart.Seconds();
   const double share = std::clamp(age, kLeastStartShare, 1.0);
   const bool ramps = record.member.state == BackendState::kStarting;
-  const double usable = slots * (ramps ? share : 1.0);
-  const double busy = (record.in_flight + 1) / usable;
-  return busy * (1 + record.mean_ms / 100.0) + 2 * record.refused_part;
+  return slots * (ramps ? share : 1.0);
+}
+
+// Tells whether the member has slots to spare and gives no trouble, by its own
+// word where there is a fresh one.
+bool Router::HasRoom(TimePoint now, const Record& record) const {
+  double used = record.in_flight + 1;
+  if (record.load && now < record.load_time + kLoadAge) {
+    used = std::max<double>(used, record.load->in_flight +
+                                      record.load->waiting +
+                                      record.begun_since_load);
+  }
+  return used < kNearUse * Usable(now, record) &&
+         record.refused_part + record.failed_part < kNearTrouble;
+}
+
+double Router::Load(TimePoint now, const Record& record) const {
+  const double usable = Usable(now, record);
+  double used = record.in_flight + 1;
+  if (record.load && now < record.load_time + kLoadAge) {
+    used = std::max<double>(used, record.load->in_flight +
+                                      record.load->waiting +
+                                      record.begun_since_load);
+  }
+  const double busy = used / usable;
+  return busy * (1 + record.mean_ms / 100.0) + 2 * record.refused_part +
+         2 * record.failed_part;
 }
 
 std::vector<Router::Record*> Router::Candidates(
@@ -150,6 +190,12 @@
     }
     return sum / static_cast<double>(end - begin);
   };
+  const auto roomy = std::partition(
+      candidates.begin(), far, [&](const Record* r) { return HasRoom(now, *r); });
+  if (roomy != candidates.begin() && (*candidates.begin())->load) {
+    candidates.erase(roomy, candidates.end());
+    return;
+  }
   const double near_load = mean_load(candidates.begin(), far);
   const double far_load = mean_load(far, candidates.end());
   const bool spill =
--- a/src/programs/consensus_driver.cc
+++ b/src/programs/consensus_driver.cc
@@ -1,7 +1,6 @@
 #include "rosemarywinch/programs/consensus_driver.h"
 
 #include <chrono>
-#include <cstdlib>
 #include <utility>
 
 #include "rosemarywinch/adapters/log.h"
@@ -12,17 +11,10 @@
 namespace {
 
 constexpr size_t kInstanceBytes = 8;
-constexpr int kDiskFailureExit = 74;
+// Pause before a disk that refused a write is tried again.
+constexpr Duration kDiskRetry{500};
 constexpr int64_t kTicksPerHeartbeat = 3;
 
-// A replica whose disk fails must neither vote nor answer any more.
-void StopOnDiskFailure(const Outcome<Done>& outcome) {
-  if (const auto* error = std::get_if<Error>(&outcome)) {
-    LogChange(LogLevel::kError, "disk_failed", {{"error", error->Message()}});
-    std::_Exit(kDiskFailureExit);
-  }
-}
-
 }  // namespace
 
 ConsensusDriver::ConsensusDriver(Options options,
@@ -43,6 +35,14 @@
 }
 
 Result<Done> ConsensusDriver::Start() {
+  std::scoped_lock lock(m_mutex);
+  BOOST_LEAF_CHECK(Load());
+  m_ticker = std::thread([this] { TickLoop(); });
+  return Done{};
+}
+
+// Makes the replica from what the storage holds. Under the lock.
+Result<Done> ConsensusDriver::Load() {
   BOOST_LEAF_AUTO(recovered, m_storage.Recover());
   if (recovered.hard.self.instance.empty()) {
     recovered.hard.self = {m_options.replica.replica_id,
@@ -51,13 +51,36 @@
     LogChange(LogLevel::kInfo, "new_data_folder",
               {{"instance", recovered.hard.self.instance}});
   }
-  std::scoped_lock lock(m_mutex);
+  m_state = {};
+  m_published.reset();
   m_replica = std::make_unique<consensus::Replica>(
       m_options.replica, std::move(recovered), m_random, m_clock.Now());
-  m_ticker = std::thread([this] { TickLoop(); });
   return Done{};
 }
 
+// A replica whose disk refuses a write must neither vote nor answer: what it
+// would say is not sure to last. It starts anew from what the disk holds.
+void ConsensusDriver::StopIfFailed(const Outcome<Done>& written) {
+  if (const auto* error = std::get_if<Error>(&written)) {
+    LogChange(LogLevel::kError, "disk_failed", {{"error", error->Message()}});
+    m_disk_failed = true;
+    m_disk_retry = m_clock.Now() + kDiskRetry;
+    m_listener.OnFollower(m_clock.Now());
+    LoseWaiters();
+  }
+}
+
+void ConsensusDriver::RetryDisk() {
+  if (m_clock.Now() < m_disk_retry) {
+    return;
+  }
+  m_disk_retry = m_clock.Now() + kDiskRetry;
+  const Outcome<Done> loaded = Capture([&] { return Load(); });
+  m_disk_failed = std::holds_alternative<Error>(loaded);
+  LogChange(LogLevel::kInfo, "disk_retried",
+            {{"failed", m_disk_failed ? "true" : "false"}});
+}
+
 void ConsensusDriver::Stop() {
   {
     std::scoped_lock lock(m_mutex);
@@ -75,8 +98,12 @@
                                         kTicksPerHeartbeat);
   std::unique_lock lock(m_mutex);
   while (!m_stopping) {
-    CarryOut(m_replica->Tick(m_clock.Now()));
-    CompactIfLong();
+    if (m_disk_failed) {
+      RetryDisk();
+    } else {
+      CarryOut(m_replica->Tick(m_clock.Now()));
+      CompactIfLong();
+    }
     const auto due = std::chrono::steady_clock::now() + pause;
     m_changed.wait_until(lock, due, [this] { return m_stopping; });
   }
@@ -84,7 +111,7 @@
 
 void ConsensusDriver::Receive(const PeerMessage& message) {
   std::scoped_lock lock(m_mutex);
-  if (!m_stopping && m_replica != nullptr) {
+  if (!m_stopping && !m_disk_failed && m_replica != nullptr) {
     CarryOut(m_replica->Receive(m_clock.Now(), message));
   }
 }
@@ -173,26 +200,30 @@
 
 void ConsensusDriver::CarryOut(const consensus::Effects& effects) {
   for (const consensus::Effect& effect : effects) {
+    // What comes after a failed write relies on it.
+    if (m_disk_failed) {
+      return;
+    }
     std::visit([this](const auto& kind) { CarryOut(kind); }, effect);
   }
 }
 
 void ConsensusDriver::CarryOut(const consensus::SaveHardState& effect) {
-  StopOnDiskFailure(
+  StopIfFailed(
       Capture([&] { return m_storage.SaveHardState(effect.state); }));
 }
 
 void ConsensusDriver::CarryOut(const consensus::AppendEntries& effect) {
-  StopOnDiskFailure(Capture([&] { return m_storage.Append(effect.entries); }));
+  StopIfFailed(Capture([&] { return m_storage.Append(effect.entries); }));
 }
 
 void ConsensusDriver::CarryOut(const consensus::TruncateEntries& effect) {
-  StopOnDiskFailure(
+  StopIfFailed(
       Capture([&] { return m_storage.TruncateFrom(effect.from); }));
 }
 
 void ConsensusDriver::CarryOut(const consensus::SaveSnapshot& effect) {
-  StopOnDiskFailure(Capture(
+  StopIfFailed(Capture(
       [&] { return m_storage.SaveSnapshot(effect.snapshot, effect.kept); }));
 }
 
@@ -244,13 +275,14 @@
 bool ConsensusDriver::MayServe(TimePoint now) const {
   const bool founded = m_state.version > 0 ||
                        m_replica->VoterCount() >= m_options.founding_voters;
-  return founded && m_replica->MayServe(now);
+  return !m_disk_failed && founded && m_replica->MayServe(now);
 }
 
 void ConsensusDriver::CompactIfLong() {
   const auto& log = m_replica->log();
   const uint64_t commit = m_replica->commit_index();
-  if (commit >= log.snapshot().last_index + m_options.snapshot_entries) {
+  if (!m_disk_failed &&
+      commit >= log.snapshot().last_index + m_options.snapshot_entries) {
     CarryOut(m_replica->Compact(commit, m_state));
   }
 }
--- a/src/programs/mesh/caller_entry.cc
+++ b/src/programs/mesh/caller_entry.cc
@@ -33,6 +33,14 @@
   return failed ? CallResult::kFailed : CallResult::kAnswered;
 }
 
+// Only the node itself fills in its load; 0 of both stands for no word.
+std::optional<LoadReport> LoadOf(const HopResponse& response) {
+  if (response.in_flight == 0 && response.waiting == 0) {
+    return std::nullopt;
+  }
+  return LoadReport{response.in_flight, response.waiting};
+}
+
 }  // namespace
 
 CallerEntry::CallerEntry(std::string own_service,
@@ -139,7 +147,7 @@
       co_await m_hops.Call(member, std::move(hop), std::move(scope));
   const Duration took = m_clock.Now() - began;
   m_view.FinishCall(passage.hop.service, member.node, ResultOf(response),
-                    took);
+                    took, LoadOf(response));
   if (response.reached_backend) {
     ++passage.reached;
   } else {
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -15,6 +15,9 @@
 // Retries that one node may save up for a service: all nodes together stay
 // well below the slack of the fleet's budget.
 constexpr double kSavedRetries = 2;
+// Part of the requests that may be sent again. A repeat repeats the calls below
+// it, so over a chain of four services this makes about a sixth more calls.
+constexpr double kRetryPart = 0.04;
 constexpr uint64_t kSplitSteps = 1u << 20;
 
 }  // namespace
@@ -216,25 +219,26 @@
 void MeshView::FinishCall(const std::string& service,
                           const std::string& node,
                           CallResult result,
-                          Duration took) {
+                          Duration took,
+                          std::optional<LoadReport> load) {
   const TimePoint now = m_clock.Now();
   m_services.With(service, [&](ServiceShard& shard) {
     const auto found = shard.routers.find(service);
     if (found != shard.routers.end()) {
-      found->second.Finish(now, node, result, took);
+      found->second.Finish(now, node, result, took, load);
     }
   });
 }
 
 void MeshView::CountRequest(const std::string& service) {
   m_services.With(service, [&](ServiceShard& shard) {
-    shard.budgets.try_emplace(service, kSavedRetries).first->second.OnCall();
+    shard.budgets.try_emplace(service, kRetryPart, kSavedRetries).first->second.OnCall();
   });
 }
 
 bool MeshView::TryRetry(const std::string& service) {
   return m_services.With(service, [&](ServiceShard& shard) {
-    return shard.budgets.try_emplace(service, kSavedRetries)
+    return shard.budgets.try_emplace(service, kRetryPart, kSavedRetries)
         .first->second.TryRetry();
   });
 }
