Refuse fresh requests at the entry by the pressure from below

Ruled out: retries (6 to 290 repeats of all arrivals); quota (429 only beyond it).

Change: answers carry the pressure of a member and of what it calls, so it rises through the call graph; while it is above 1 the node that takes a request refuses a growing part of the fresh ones at once, the least urgent first.

--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -446,11 +446,12 @@
   uint32_t in_flight = 0;
   uint32_t waiting = 0;
   Duration retry_after{0};
+  double pressure = 0;
 
   bool operator==(const HopResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 9> kHopResponseFields{{
+inline constexpr std::array<FieldInfo, 10> kHopResponseFields{{
     {"outcome", "", 0, 0, "", "", "", {}},
     {"reason", "", 0, 0, "", "", "", {}},
     {"status", "", 0, 0, "", "", "", {}},
@@ -460,6 +461,7 @@
     {"in_flight", "", 0, 0, "", "", "", {}},
     {"waiting", "", 0, 0, "", "", "", {}},
     {"retry_after", "ms", 0, 0, "", "", "", {}},
+    {"pressure", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -475,6 +477,7 @@
   visit(kHopResponseFields[6], self.in_flight);
   visit(kHopResponseFields[7], self.waiting);
   visit(kHopResponseFields[8], self.retry_after);
+  visit(kHopResponseFields[9], self.pressure);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -491,6 +494,7 @@
   visit(kHopResponseFields[6], self.in_flight, other.in_flight);
   visit(kHopResponseFields[7], self.waiting, other.waiting);
   visit(kHopResponseFields[8], self.retry_after, other.retry_after);
+  visit(kHopResponseFields[9], self.pressure, other.pressure);
 }
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/programs/mesh/backend_door.h
+++ b/include/rosemarywinch/programs/mesh/backend_door.h
@@ -43,6 +43,11 @@
 
   size_t open_requests() const;
 
+  /// Sets who knows the pressure on what the backend server calls.
+  void OnAskPressure(std::function<double()> below) {
+    m_pressure_below = std::move(below);
+  }
+
   /// Sets what is called when the state of the backend server changes.
   void OnChange(std::function<void()> changed) {
     m_changed = std::move(changed);
@@ -70,6 +75,7 @@
   Clock& m_clock;
   BackendChannel m_channel;
   std::function<void()> m_changed;
+  std::function<double()> m_pressure_below;
   mutable std::mutex m_mutex;
   BackendPresence m_presence;
   std::string m_noted;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -14,6 +14,7 @@
 #include "rosemarywinch/core/sharded.h"
 #include "rosemarywinch/decisions/control/quota_cache.h"
 #include "rosemarywinch/decisions/mesh/entry_check.h"
+#include "rosemarywinch/decisions/traffic/pressure_gate.h"
 #include "rosemarywinch/decisions/traffic/retry_budget.h"
 #include "rosemarywinch/decisions/traffic/router.h"
 #include "rosemarywinch/interfaces/clock.h"
@@ -64,6 +65,14 @@
   /// Takes a retry of the service's budget, if there is one left.
   bool TryRetry(const std::string& service);
 
+  /// Decides by the pressure on `service` whether a fresh request may start.
+  bool AdmitFresh(const std::string& service, uint32_t rank);
+  /// Takes over the pressure that came with an answer of `service`; `nested`
+  /// tells whether the local backend server had called it.
+  void NotePressure(const std::string& service, double pressure, bool nested);
+  /// Returns the pressure on what the local backend server calls.
+  double PressureOnCalls();
+
   /// Chooses a part of a route's split.
   std::string ServiceOf(const MeshRoute& route);
 
@@ -74,6 +83,7 @@
   struct ServiceShard {
     std::map<std::string, Router> routers;
     std::map<std::string, RetryBudget> budgets;
+    std::map<std::string, PressureGate> gates;
   };
   struct AccountShard {
     std::map<std::string, QuotaCache> quotas;
@@ -95,6 +105,7 @@
   void CountWaiting(const std::string& account, void (QuotaCache::*count)());
   bool IsDry(const std::string& account);
   void TellNews();
+  double RandomPoint();
 
   const std::string m_data_centre;
   Clock& m_clock;
@@ -104,6 +115,8 @@
   Known m_known;
   Sharded<ServiceShard> m_services;
   Sharded<AccountShard> m_accounts;
+  std::mutex m_below_mutex;
+  PressureBelow m_below;
   std::mutex m_news_mutex;
   std::vector<std::shared_ptr<OneShot<bool>>> m_news;
 };
--- a/src/programs/mesh/backend_door.cc
+++ b/src/programs/mesh/backend_door.cc
@@ -13,6 +13,9 @@
 // for this much longer.
 constexpr Duration kAnswerGrace{100};
 constexpr Duration kLeastWork{5};
+// A queue in which calls wait longer than this is under pressure: a request
+// may wait so at each of several calls in turn.
+constexpr Duration kGoodWait{40};
 
 HopResponse NotRun(ErrorId reason) {
   HopResponse response;
@@ -252,7 +255,13 @@
 }
 
 void BackendDoor::AddLoad(HopResponse& response) const {
+  const double below = m_pressure_below();
   std::scoped_lock lock(m_mutex);
+  const double wait = m_queue.waiting() == 0
+                          ? 0
+                          : static_cast<double>(m_queue.ExpectedWait().ms);
+  response.pressure =
+      std::max(below, wait / static_cast<double>(kGoodWait.ms));
   response.in_flight = m_queue.in_flight();
   response.waiting = static_cast<uint32_t>(m_queue.waiting());
 }
--- a/src/programs/mesh/caller_entry.cc
+++ b/src/programs/mesh/caller_entry.cc
@@ -17,6 +17,8 @@
 // With less time left than this, another send is of no use.
 constexpr Duration kLeastTimeToSend{20};
 constexpr Duration kRetrySoon{300};
+// Ranks of routes within one priority of an account.
+constexpr uint32_t kRouteRanks = 16;
 
 bool IsServerError(const HopResponse& response) {
   return response.outcome == HopOutcome::kAnswered &&
@@ -87,8 +89,17 @@
   const Duration allowed = let_in.route->spec.timeout;
   passage.deadline =
       now + std::min(allowed, caller.time_left.value_or(allowed));
+  passage.hop.service = m_view.ServiceOf(*let_in.route);
   if (let_in.account != nullptr) {
     passage.hop.account = let_in.account->name;
+    const uint32_t rank =
+        let_in.priority * kRouteRanks +
+        std::min(let_in.route->spec.priority, kRouteRanks - 1);
+    if (!m_view.AdmitFresh(passage.hop.service, rank)) {
+      co_return Refuse(caller.request_id,
+                       Error{ErrorId::kOverloaded, passage.hop.service},
+                       kRetrySoon * 3);
+    }
     if (let_in.account->spec.rate > 0) {
       const auto wait = co_await m_view.TakeToken(let_in.account->name);
       if (wait) {
@@ -99,7 +110,6 @@
     }
   }
   passage.hop.request_id = std::move(caller.request_id);
-  passage.hop.service = m_view.ServiceOf(*let_in.route);
   passage.hop.method = std::move(request.method);
   passage.hop.target = std::move(request.target);
   passage.hop.headers = m_protocol.ForwardedHeaders(request);
@@ -148,6 +158,8 @@
   const Duration took = m_clock.Now() - began;
   m_view.FinishCall(passage.hop.service, member.node, ResultOf(response),
                     took, LoadOf(response));
+  m_view.NotePressure(passage.hop.service, response.pressure,
+                      passage.hop.nested);
   if (response.reached_backend) {
     ++passage.reached;
   } else {
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -69,6 +69,7 @@
                 [this](const auto& seeds) { m_poller.SetSeeds(seeds); }) {
     m_view.OnUrgent([this] { m_poller.Poke(); });
     m_door.OnChange([this] { m_poller.Poke(); });
+    m_door.OnAskPressure([this] { return m_view.PressureOnCalls(); });
   }
 
   Result<ExitCode> Run() {
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -18,7 +18,7 @@
 // Part of the requests that may be sent again. A repeat repeats the calls below
 // it, so over a chain of four services this makes about a sixth more calls.
 constexpr double kRetryPart = 0.04;
-constexpr uint64_t kSplitSteps = 1u << 20;
+constexpr uint64_t kRandomSteps = 1u << 20;
 
 }  // namespace
 
@@ -243,10 +243,39 @@
   });
 }
 
+bool MeshView::AdmitFresh(const std::string& service, uint32_t rank) {
+  const TimePoint now = m_clock.Now();
+  const double point = RandomPoint();
+  return m_services.With(service, [&](ServiceShard& shard) {
+    return shard.gates[service].Admit(now, rank, point);
+  });
+}
+
+void MeshView::NotePressure(const std::string& service,
+                            double pressure,
+                            bool nested) {
+  const TimePoint now = m_clock.Now();
+  if (nested) {
+    std::scoped_lock lock(m_below_mutex);
+    m_below.OnAnswer(now, service, pressure);
+    return;
+  }
+  m_services.With(service, [&](ServiceShard& shard) {
+    shard.gates[service].OnPressure(now, pressure);
+  });
+}
+
+double MeshView::PressureOnCalls() {
+  std::scoped_lock lock(m_below_mutex);
+  return m_below.Greatest(m_clock.Now());
+}
+
 std::string MeshView::ServiceOf(const MeshRoute& route) {
-  const double point =
-      static_cast<double>(m_random.Below(kSplitSteps)) / kSplitSteps;
-  return route.ServiceAt(point);
+  return route.ServiceAt(RandomPoint());
+}
+
+double MeshView::RandomPoint() {
+  return static_cast<double>(m_random.Below(kRandomSteps)) / kRandomSteps;
 }
 
 }  // namespace rosemarywinch
