--- a/src/programs/mesh/backend_door.cc
+++ b/src/programs/mesh/backend_door.cc
@@ -15,7 +15,7 @@
 constexpr Duration kLeastWork{5};
 // A queue in which calls wait longer than this is under pressure: a request
 // may wait so at each of several calls in turn.
-constexpr Duration kGoodWait{40};
+constexpr Duration kGoodWait{100};
 
 HopResponse NotRun(ErrorId reason) {
   HopResponse response;
--- /dev/null
+++ b/tests/process-platform.cpp
@@ -0,0 +1,411 @@
+#define BOOST_TEST_MODULE platform
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "rosemarywinch/adapters/async/async_http_server.h"
+#include "rosemarywinch/interfaces/http_request_builder.h"
+#include "support/fleet.h"
+
+namespace rosemarywinch {
+namespace {
+
+using test::Process;
+using test::WaitUntil;
+
+constexpr int kReplicas = 3;
+constexpr Duration kCallLimit{5'000};
+
+// A backend server on the platform: it echoes the request's id, seals its
+// answers and can be told to be slow or to answer for another request.
+class BackendStandIn {
+ public:
+  explicit BackendStandIn(const std::string& address)
+      : m_server(std::make_shared<AsyncHttpServer>(
+            m_context,
+            [this](HttpRequest request, std::shared_ptr<RequestScope> scope) {
+              return Answer(std::move(request), std::move(scope));
+            })) {
+    BOOST_REQUIRE(!std::holds_alternative<Error>(
+        Capture([&] { return m_server->Start(address); })));
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~BackendStandIn() {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  std::vector<HttpRequest> Seen() {
+    std::scoped_lock lock(m_mutex);
+    return m_seen;
+  }
+
+  std::atomic<int> delay_ms{0};
+  std::atomic<bool> wrong_id{false};
+  std::atomic<int> abandoned{0};
+
+ private:
+  asio::awaitable<HttpResponse> Answer(HttpRequest request,
+                                       std::shared_ptr<RequestScope> scope) {
+    {
+      std::scoped_lock lock(m_mutex);
+      m_seen.push_back(request);
+    }
+    asio::steady_timer timer(m_context);
+    for (int waited = 0; waited < delay_ms && !scope->ended(); waited += 10) {
+      timer.expires_after(std::chrono::milliseconds(10));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    abandoned += scope->ended() ? 1 : 0;
+    HttpResponse response;
+    const std::string* id = request.headers.Find("X-Request-Id");
+    response.headers.Add("X-Request-Id", wrong_id ? "another" : *id);
+    response.headers.Add("X-Server-Seal", "seal");
+    response.body = "answer to " + *id;
+    co_return response;
+  }
+
+  asio::io_context m_context;
+  std::shared_ptr<AsyncHttpServer> m_server;
+  std::thread m_thread;
+  std::mutex m_mutex;
+  std::vector<HttpRequest> m_seen;
+};
+
+// Three control replicas and two nodes, each on a loopback address of its own,
+// as the platform starts them: by a settings file that the environment names.
+class Mesh {
+ public:
+  Mesh() {
+    for (int i = 1; i <= kReplicas; ++i) {
+      StartControl(i, /*founding=*/true);
+    }
+    StartNode(0, "shop");
+    StartNode(1, "till");
+  }
+
+  static std::string ControlHost(int i) {
+    return "127.0.7." + std::to_string(i);
+  }
+  static std::string NodeHost(size_t i) {
+    return "127.0.7." + std::to_string(11 + i);
+  }
+  std::string At(const std::string& host, uint16_t port) const {
+    return host + ":" + std::to_string(port);
+  }
+  std::string Callers(size_t i) const { return At(NodeHost(i), m_ports[0]); }
+  std::string Local(size_t i) const { return At(NodeHost(i), m_ports[1]); }
+  std::string Ready(size_t i) const { return At(NodeHost(i), m_ports[2]); }
+  std::string Backend(size_t i) const { return At(NodeHost(i), m_ports[3]); }
+
+  void StartControl(int i, bool founding) {
+    const std::string host = ControlHost(i);
+    const std::string name = "control" + std::to_string(i);
+    controls[i] = Start(
+        name, "control",
+        "node_name = " + name + "\noperator_address = " +
+            At(host, m_ports[1]) + "\npeer_address = " + At(host, m_ports[4]) +
+            "\nseeds = " + Seeds() + "\ndata_folder = " + folder.At(name + "d") +
+            "\nfounding = " + (founding ? "true" : "false") + "\n");
+  }
+
+  void StartNode(size_t i, const std::string& service) {
+    const std::string name = "node" + std::to_string(i);
+    nodes.push_back(Start(
+        name, "node",
+        "node_name = " + name + "\ndata_centre = dc\nservice = " + service +
+            "\nbackend_address = " + Backend(i) + "\ncaller_address = " +
+            Callers(i) + "\nlocal_address = " + Local(i) +
+            "\nready_address = " + Ready(i) + "\npeer_address = " +
+            At(NodeHost(i), m_ports[4]) + "\nseeds = " + Seeds() +
+            "\ncontrol_peer_port = " + std::to_string(m_ports[4]) + "\n"));
+  }
+
+  HttpResult Send(const std::string& address, const HttpRequest& request) {
+    return channel.Send(address, request, {kCallLimit, true, {}});
+  }
+
+  int StatusOf(const std::string& address, const HttpRequest& request) {
+    const HttpResult result = Send(address, request);
+    const auto* response = std::get_if<HttpResponse>(&result);
+    return response == nullptr ? 0 : response->status;
+  }
+
+  // Puts a configuration at whichever replica takes it.
+  int Put(const std::string& body) {
+    int status = 0;
+    WaitUntil([&] {
+      for (int i = 1; i <= kReplicas && (status < 200 || status == 307 ||
+                                         status == 503);
+           ++i) {
+        status = StatusOf(
+            At(ControlHost(i), m_ports[1]),
+            HttpRequestBuilder("PUT", "/configuration").Body(body).Build());
+      }
+      return status >= 200 && status != 307 && status != 503;
+    });
+    return status;
+  }
+
+  std::string Get() {
+    std::string body;
+    WaitUntil([&] {
+      for (int i = 1; i <= kReplicas; ++i) {
+        const HttpResult result =
+            Send(At(ControlHost(i), m_ports[1]),
+                 HttpRequestBuilder("GET", "/configuration").Build());
+        const auto* response = std::get_if<HttpResponse>(&result);
+        if (response != nullptr && response->status == 200) {
+          body = response->body;
+          return true;
+        }
+      }
+      return false;
+    });
+    return body;
+  }
+
+  int Report(size_t i,
+             const std::string& service,
+             const std::string& state,
+             int sequence) {
+    const Json report{{"service", service}, {"address", Backend(i)},
+                      {"state", state},     {"slots", 4},
+                      {"sequence", sequence}, {"born", 5}};
+    return StatusOf(Local(i), HttpRequestBuilder("PUT", "/backends/i-1")
+                                  .Body(report.dump())
+                                  .Build());
+  }
+
+  static HttpRequest Request(const std::string& path,
+                             const std::string& id,
+                             const std::string& key) {
+    return HttpRequestBuilder("GET", path)
+        .Header("Host", "a.example")
+        .Header("X-Request-Id", id)
+        .Header("X-Deadline-Ms", "4000")
+        .Header("X-Tenant-Name", "forged")
+        .Header("Authorization", "Token " + key)
+        .Build();
+  }
+
+  test::TempFolder folder;
+  CurlChannel channel;
+  std::map<int, std::unique_ptr<Process>> controls;
+  std::vector<std::unique_ptr<Process>> nodes;
+
+ private:
+  std::string Seeds() const {
+    std::string seeds;
+    for (int i = 1; i <= kReplicas; ++i) {
+      seeds += (i > 1 ? "," : "") + At(ControlHost(i), m_ports[1]);
+    }
+    return seeds;
+  }
+
+  std::unique_ptr<Process> Start(const std::string& name,
+                                 const std::string& program,
+                                 const std::string& settings) {
+    const std::string file = folder.At(name + ".settings");
+    std::ofstream(file) << settings;
+    ::setenv("ROSEMARYWINCH_CONFIG", file.c_str(), 1);
+    auto process = std::make_unique<Process>(
+        "rosemarywinch", std::vector<std::string>{"mesh", program},
+        folder.At(name));
+    ::unsetenv("ROSEMARYWINCH_CONFIG");
+    return process;
+  }
+
+  // Callers, local and operators, readiness, backend servers, peers.
+  const std::vector<uint16_t> m_ports{test::FreePort(), test::FreePort(),
+                                      test::FreePort(), test::FreePort(),
+                                      test::FreePort()};
+};
+
+std::string Configuration(int version, int base, const std::string& key) {
+  const Json route{{"hostname", "a.example"}, {"path_prefix", "/pay/"},
+                   {"kind", "at_most_once"},  {"timeout", 3000},
+                   {"target_latency", 1000},  {"service", "till"},
+                   {"max_attempts", 2},       {"open", false}};
+  return Json{{"version", version},
+              {"base_version", base},
+              {"routes", {{"r-pay", route}}},
+              {"services",
+               {{"shop", {{"health_path", "/health"}}},
+                {"till", {{"health_path", "/health"}}}}},
+              {"accounts",
+               {{"ann", {{"keys", {key}}, {"rate", 50}, {"burst", 50}}}}},
+              {"limits",
+               {{"max_header_bytes", 16384},
+                {"max_body_bytes", 1048576},
+                {"header_timeout", 3000},
+                {"idle_timeout", 15000}}}}
+      .dump();
+}
+
+// One mesh for all cases, in the order in which they stand.
+struct Running {
+  Running() : shop(mesh.Backend(0)), till(mesh.Backend(1)) {
+    BOOST_REQUIRE_EQUAL(mesh.Put(Configuration(3, 0, "k1")), 200);
+    BOOST_REQUIRE_EQUAL(mesh.Report(0, "shop", "ready", 1), 200);
+    BOOST_REQUIRE_EQUAL(mesh.Report(1, "till", "ready", 1), 200);
+    BOOST_REQUIRE(WaitUntil([&] {
+      return mesh.StatusOf(mesh.Callers(0),
+                           Mesh::Request("/pay/1", "warm", "k1")) == 200;
+    }));
+  }
+  Mesh mesh;
+  BackendStandIn shop;
+  BackendStandIn till;
+  int sequence = 1;
+
+  static Running& Get() {
+    static Running running;
+    // Reports keep the backend servers alive while the cases run.
+    ++running.sequence;
+    running.mesh.Report(0, "shop", "ready", running.sequence);
+    running.mesh.Report(1, "till", "ready", running.sequence);
+    return running;
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_runs_beside_another_node_for_its_account) {
+  Running& running = Running::Get();
+  const HttpResult result = running.mesh.Send(
+      running.mesh.Callers(0), Mesh::Request("/pay/2?x=1", "id-2", "k1"));
+  const auto* response = std::get_if<HttpResponse>(&result);
+  BOOST_REQUIRE(response != nullptr);
+  BOOST_TEST(response->status == 200);
+  BOOST_TEST(response->body == "answer to id-2");
+  const HttpRequest seen = running.till.Seen().back();
+  BOOST_TEST(seen.target == "/pay/2?x=1");
+  BOOST_TEST(*seen.headers.Find("Host") == "a.example");
+  BOOST_TEST(*seen.headers.Find("X-Tenant-Name") == "ann");
+  BOOST_TEST(*seen.headers.Find("X-Caller-Service") == "shop");
+  BOOST_TEST(*seen.headers.Find("X-Expect-Instance") == "i-1");
+  BOOST_TEST((seen.headers.Find("Authorization") == nullptr));
+  BOOST_TEST(std::stoi(*seen.headers.Find("X-Deadline-Ms")) <= 3000);
+}
+
+BOOST_AUTO_TEST_CASE(what_may_not_run_is_told_apart) {
+  Running& running = Running::Get();
+  const auto status = [&](const std::string& path, const std::string& key) {
+    return running.mesh.StatusOf(running.mesh.Callers(0),
+                                 Mesh::Request(path, "id-3", key));
+  };
+  BOOST_TEST(status("/pay/3", "other") == 401);
+  BOOST_TEST(status("/none/3", "k1") == 404);
+  BOOST_TEST(running.mesh.Put("{\"version\":") == 400);
+  BOOST_TEST(running.mesh.Put(Configuration(9, 1, "k1")) == 412);
+  BOOST_TEST(running.mesh.Put(Configuration(3, 0, "k1")) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_reaches_nobody) {
+  Running& running = Running::Get();
+  running.till.wrong_id = true;
+  const HttpResult result =
+      running.mesh.Send(running.mesh.Callers(0),
+                        Mesh::Request("/pay/4", "id-4", "k1"));
+  running.till.wrong_id = false;
+  const auto* response = std::get_if<HttpResponse>(&result);
+  BOOST_REQUIRE(response != nullptr);
+  BOOST_TEST(response->status >= 500);
+  BOOST_TEST((response->headers.Find("X-Server-Seal") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(work_ends_when_the_caller_has_gone) {
+  Running& running = Running::Get();
+  running.till.delay_ms = 2'500;
+  const int before = running.till.abandoned;
+  static_cast<void>(running.mesh.channel.Send(
+      running.mesh.Callers(0), Mesh::Request("/pay/5", "id-5", "k1"),
+      {Duration{300}, true, {}}));
+  BOOST_TEST(WaitUntil([&] { return running.till.abandoned > before; },
+                       std::chrono::milliseconds(2'000)));
+  running.till.delay_ms = 0;
+}
+
+BOOST_AUTO_TEST_CASE(nothing_reaches_a_backend_server_that_leaves) {
+  Running& running = Running::Get();
+  BOOST_REQUIRE_EQUAL(
+      running.mesh.Report(1, "till", "leaving", ++running.sequence), 200);
+  const size_t before = running.till.Seen().size();
+  BOOST_TEST(running.mesh.StatusOf(
+                 running.mesh.Callers(0),
+                 Mesh::Request("/pay/6", "id-6", "k1")) == 503);
+  BOOST_TEST(running.till.Seen().size() == before);
+  // A new life begins for the cases that follow.
+  const Json report{{"service", "till"},
+                    {"address", running.mesh.Backend(1)},
+                    {"state", "ready"},
+                    {"slots", 4},
+                    {"sequence", 1},
+                    {"born", 6}};
+  BOOST_TEST(running.mesh.StatusOf(running.mesh.Local(1),
+                                   HttpRequestBuilder("PUT", "/backends/i-2")
+                                       .Body(report.dump())
+                                       .Build()) == 200);
+  BOOST_TEST(WaitUntil([&] {
+    return running.mesh.StatusOf(running.mesh.Callers(0),
+                                 Mesh::Request("/pay/7", "id-7", "k1")) == 200;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(an_accepted_configuration_outlives_all_replicas) {
+  Running& running = Running::Get();
+  const std::string second = Configuration(8, 3, "k2");
+  BOOST_REQUIRE_EQUAL(running.mesh.Put(second), 200);
+  for (auto& [i, control] : running.mesh.controls) {
+    control->Signal(SIGKILL);
+    control->Wait();
+  }
+  for (int i = 1; i <= kReplicas; ++i) {
+    running.mesh.StartControl(i, /*founding=*/false);
+  }
+  BOOST_TEST(running.mesh.Get() == second);
+}
+
+BOOST_AUTO_TEST_CASE(a_key_that_was_taken_away_is_refused) {
+  Running& running = Running::Get();
+  BOOST_TEST(WaitUntil([&] {
+    const int status = running.mesh.StatusOf(
+        running.mesh.Callers(0), Mesh::Request("/pay/8", "id-8", "k1"));
+    return status == 401;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_finishes_what_runs) {
+  Running& running = Running::Get();
+  running.mesh.StatusOf(running.mesh.Local(1),
+                        HttpRequestBuilder("PUT", "/backends/i-2")
+                            .Body(Json{{"service", "till"},
+                                       {"address", running.mesh.Backend(1)},
+                                       {"state", "ready"},
+                                       {"slots", 4},
+                                       {"sequence", 2},
+                                       {"born", 6}}
+                                      .dump())
+                            .Build());
+  const auto request = Mesh::Request("/pay/9", "id-9", "k2");
+  BOOST_REQUIRE(WaitUntil([&] {
+    return running.mesh.StatusOf(running.mesh.Callers(0), request) == 200;
+  }));
+  running.till.delay_ms = 1'500;
+  const size_t before = running.till.Seen().size();
+  auto status = std::async(std::launch::async, [&] {
+    return running.mesh.StatusOf(running.mesh.Callers(0), request);
+  });
+  BOOST_REQUIRE(
+      WaitUntil([&] { return running.till.Seen().size() > before; }));
+  running.mesh.nodes[0]->Signal(SIGTERM);
+  BOOST_TEST(status.get() == 200);
+  BOOST_TEST(running.mesh.nodes[0]->Wait() == 0);
+}
+
+}  // namespace rosemarywinch
