--- a/include/rosemarywinch/adapters/log.h
+++ b/include/rosemarywinch/adapters/log.h
@@ -22,11 +22,21 @@
               const std::string& id,
               LogTarget target = LogTarget::kErrorOutput);
 
+/// Writes out the lines that wait; nothing may be logged afterwards.
+void StopLog();
+
 /// Writes one JSON line for a change of state.
 void LogChange(LogLevel level,
                std::string_view event,
                const std::vector<LogField>& fields = {});
 
+/// Writes one JSON line for a decision that touches a request. At most
+/// kDecisionLinesPerSecond are written; a later line tells in `left_out` how
+/// many were not.
+void LogDecision(std::string_view event, std::vector<LogField> fields);
+
+inline constexpr int kDecisionLinesPerSecond = 50;
+
 }  // namespace rosemarywinch
 
 #endif  // ROSEMARYWINCH_ADAPTERS_LOG_H_
--- a/include/rosemarywinch/programs/mesh/caller_entry.h
+++ b/include/rosemarywinch/programs/mesh/caller_entry.h
@@ -34,6 +34,8 @@
   struct Passage {
     HopRequest hop;
     const MeshRoute* route = nullptr;
+    std::string route_name;
+    uint64_t config_version = 0;
     TimePoint arrived;
     TimePoint deadline;
     /// Backend servers that may have been sent the request.
--- a/src/adapters/log.cc
+++ b/src/adapters/log.cc
@@ -1,9 +1,15 @@
 #include "rosemarywinch/adapters/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <chrono>
 #include <memory>
+#include <mutex>
+#include <optional>
+#include <utility>
 
 #include "rosemarywinch/adapters/json_codec.h"
 
@@ -33,8 +39,53 @@
   return identity;
 }
 
+// Lines that may be written at once after a quiet time.
+constexpr double kDecisionBurst = 200;
+// Lines that wait for the writer; the oldest are lost when it can't keep up.
+constexpr size_t kQueuedLines = 1024;
+
+/// Bounds the lines on requests, however many requests there are.
+class DecisionBudget {
+ public:
+  /// Returns how many lines were left out before this one, or nothing when
+  /// this one is left out too.
+  std::optional<uint64_t> Take() {
+    const auto now = std::chrono::steady_clock::now();
+    std::scoped_lock lock(m_mutex);
+    const std::chrono::duration<double> passed = now - m_filled;
+    m_lines = std::min(kDecisionBurst,
+                       m_lines + passed.count() * kDecisionLinesPerSecond);
+    m_filled = now;
+    if (m_lines < 1) {
+      ++m_left_out;
+      return std::nullopt;
+    }
+    m_lines -= 1;
+    return std::exchange(m_left_out, 0);
+  }
+
+ private:
+  std::mutex m_mutex;
+  double m_lines = kDecisionBurst;
+  uint64_t m_left_out = 0;
+  std::chrono::steady_clock::time_point m_filled =
+      std::chrono::steady_clock::now();
+};
+
 }  // namespace
 
+void LogDecision(std::string_view event, std::vector<LogField> fields) {
+  static DecisionBudget budget;
+  const std::optional<uint64_t> left_out = budget.Take();
+  if (!left_out) {
+    return;
+  }
+  if (*left_out > 0) {
+    fields.push_back({"left_out", std::to_string(*left_out)});
+  }
+  LogChange(LogLevel::kInfo, event, fields);
+}
+
 void StartLog(LogLevel level,
               const std::string& role,
               const std::string& id,
@@ -46,8 +97,16 @@
   } else {
     sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
   }
-  auto logger =
-      std::make_shared<spdlog::logger>("rosemarywinch", std::move(sink));
+  std::shared_ptr<spdlog::logger> logger;
+  if (target == LogTarget::kOutput) {
+    // A reader that is slow must not hold up requests.
+    spdlog::init_thread_pool(kQueuedLines, 1);
+    logger = std::make_shared<spdlog::async_logger>(
+        "rosemarywinch", std::move(sink), spdlog::thread_pool(),
+        spdlog::async_overflow_policy::overrun_oldest);
+  } else {
+    logger = std::make_shared<spdlog::logger>("rosemarywinch", std::move(sink));
+  }
   logger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",%v}",
                       spdlog::pattern_time_type::utc);
   logger->set_level(SpdlogLevel(level));
@@ -55,6 +114,10 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
+void StopLog() {
+  spdlog::shutdown();
+}
+
 void LogChange(LogLevel level,
                std::string_view event,
                const std::vector<LogField>& fields) {
--- a/src/programs/mesh/caller_entry.cc
+++ b/src/programs/mesh/caller_entry.cc
@@ -84,6 +84,8 @@
   const LetIn& let_in = std::get<LetIn>(decision);
   Passage passage;
   passage.route = let_in.route;
+  passage.route_name = let_in.route->name;
+  passage.config_version = facts.config->version();
   passage.arrived = now;
   const Duration allowed = let_in.route->spec.timeout;
   passage.deadline =
@@ -165,12 +167,16 @@
     ++passage.turned_away;
   }
   if (response.outcome != HopOutcome::kAnswered) {
-    LogChange(LogLevel::kInfo, "send_failed",
-              {{"request", passage.hop.request_id},
-               {"node", member.node},
-               {"outcome", std::string(NameOf(response.outcome))},
-               {"reason", std::string(NameOf(response.reason))},
-               {"took_ms", std::to_string(took.ms)}});
+    LogDecision("send_failed",
+                {{"request", passage.hop.request_id},
+                 {"service", passage.hop.service},
+                 {"node", member.node},
+                 {"outcome", std::string(NameOf(response.outcome))},
+                 {"reason", std::string(NameOf(response.reason))},
+                 {"reached", response.reached_backend ? "true" : "false"},
+                 {"took_ms", std::to_string(took.ms)},
+                 {"left_ms", std::to_string((passage.deadline - began).ms)},
+                 {"config", std::to_string(passage.config_version)}});
   }
   passage.last = std::move(response);
 }
@@ -213,6 +219,14 @@
 
 HttpResponse CallerEntry::FailedAnswer(const Passage& passage) {
   const HopResponse& last = passage.last;
+  LogDecision(
+      "failed",
+      {{"request", passage.hop.request_id},
+       {"route", passage.route_name},
+       {"reason", std::string(NameOf(last.reason))},
+       {"reached", std::to_string(passage.reached)},
+       {"turned_away", std::to_string(passage.turned_away)},
+       {"held_ms", std::to_string((m_clock.Now() - passage.arrived).ms)}});
   // An idempotent request that was sent before may have run, whatever the last
   // node says; only one that never left is certain.
   const bool certain =
@@ -235,8 +249,17 @@
 HttpResponse CallerEntry::Refuse(const std::string& request_id,
                                  Error error,
                                  std::optional<Duration> retry_after) {
-  LogChange(LogLevel::kInfo, "refused",
-            {{"request", request_id}, {"reason", error.Message()}});
+  const TimePoint now = m_clock.Now();
+  const MeshView::Facts known = m_view.CurrentFacts();
+  const uint64_t version = known.config ? known.config->version() : 0;
+  LogDecision(
+      "refused",
+      {{"request", request_id},
+       {"reason", std::string(NameOf(error.id))},
+       {"detail", error.detail},
+       {"config", std::to_string(version)},
+       {"config_age_ms", std::to_string((now - known.facts.confirmed).ms)},
+       {"lease_left_ms", std::to_string((known.facts.lease_end - now).ms)}});
   Refusal refusal{request_id, std::move(error), std::nullopt, retry_after};
   return m_protocol.WriteRefusal(refusal);
 }
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -324,8 +324,12 @@
                                 MeshProtocol& protocol) {
   StartLog(common.log_level, "control", settings.node_name, LogTarget::kOutput);
   LogChange(LogLevel::kInfo, "start", {{"seeds", settings.seeds}});
-  MeshControl control(settings, source, protocol);
-  return control.Run();
+  Outcome<ExitCode> outcome = Capture([&]() -> Result<ExitCode> {
+    MeshControl control(settings, source, protocol);
+    return control.Run();
+  });
+  StopLog();
+  return Release(std::move(outcome));
 }
 
 }  // namespace rosemarywinch
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -227,8 +227,12 @@
                              MeshProtocol& protocol) {
   StartLog(common.log_level, "node", settings.node_name, LogTarget::kOutput);
   LogChange(LogLevel::kInfo, "start", {{"service", settings.service}});
-  MeshNode node(settings, source, protocol);
-  return node.Run();
+  Outcome<ExitCode> outcome = Capture([&]() -> Result<ExitCode> {
+    MeshNode node(settings, source, protocol);
+    return node.Run();
+  });
+  StopLog();
+  return Release(std::move(outcome));
 }
 
 }  // namespace rosemarywinch
