--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -376,12 +376,11 @@
   uint32_t priority = 0;
   bool nested = false;
   RouteKind kind = RouteKind::kIdempotent;
-  Duration target_latency{0};
 
   bool operator==(const HopRequest&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 13> kHopRequestFields{{
+inline constexpr std::array<FieldInfo, 12> kHopRequestFields{{
     {"request_id", "", 0, 0, "", "", "", {}},
     {"service", "", 0, 0, "", "", "", {}},
     {"method", "", 0, 0, "", "", "", {}},
@@ -394,7 +393,6 @@
     {"priority", "", 0, 0, "", "", "", {}},
     {"nested", "", 0, 0, "", "", "", {}},
     {"kind", "", 0, 0, "", "", "", {}},
-    {"target_latency", "ms", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -413,7 +411,6 @@
   visit(kHopRequestFields[9], self.priority);
   visit(kHopRequestFields[10], self.nested);
   visit(kHopRequestFields[11], self.kind);
-  visit(kHopRequestFields[12], self.target_latency);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -433,7 +430,6 @@
   visit(kHopRequestFields[9], self.priority, other.priority);
   visit(kHopRequestFields[10], self.nested, other.nested);
   visit(kHopRequestFields[11], self.kind, other.kind);
-  visit(kHopRequestFields[12], self.target_latency, other.target_latency);
 }
 
 struct HopResponse {
--- a/include/rosemarywinch/programs/mesh/backend_door.h
+++ b/include/rosemarywinch/programs/mesh/backend_door.h
@@ -81,8 +81,6 @@
   std::string m_noted;
   bool m_stopping = false;
   AdmissionQueue m_queue;
-  /// Running mean of the latency that requests here aim at.
-  double m_target_ms = 0;
   uint64_t m_next_ticket = 0;
   std::map<uint64_t, std::shared_ptr<Turn>> m_turns;
 };
--- a/src/decisions/traffic/pressure_gate.cc
+++ b/src/decisions/traffic/pressure_gate.cc
@@ -12,7 +12,7 @@
 constexpr double kGentlestCut = 0.95;
 constexpr double kHardestCut = 0.75;
 constexpr double kCutPerPressure = 0.1;
-constexpr double kRecovery = 0.04;
+constexpr double kRecovery = 0.02;
 // Some requests are always let in: they bring the news that room is back.
 constexpr double kLeastAdmitted = 0.05;
 // The least urgent keep this part of the chance of all.
--- a/src/programs/mesh/backend_door.cc
+++ b/src/programs/mesh/backend_door.cc
@@ -13,11 +13,9 @@
 // for this much longer.
 constexpr Duration kAnswerGrace{100};
 constexpr Duration kLeastWork{5};
-// A queue in which calls wait longer than this part of the latency that they
-// aim at is under pressure: a request may wait so at each of several calls.
-constexpr double kGoodWaitPart = 0.13;
-constexpr double kTargetWeight = 0.05;
-constexpr double kLeastTargetMs = 50;
+// A queue in which calls wait longer than this is under pressure: a request
+// may wait so at each of several calls in turn.
+constexpr double kGoodWaitMs = 40;
 
 HopResponse NotRun(ErrorId reason) {
   HopResponse response;
@@ -156,8 +154,6 @@
     ticket.nested = request.nested;
     ticket.rank = request.priority;
     ticket.deadline = deadline;
-    const auto target = static_cast<double>(request.target_latency.ms);
-    m_target_ms += kTargetWeight * (target - m_target_ms);
     m_turns[id] = turn;
     Tell(m_queue.Offer(m_clock.Now(), std::move(ticket)));
   }
@@ -264,8 +260,7 @@
   const double wait = m_queue.waiting() == 0
                           ? 0
                           : static_cast<double>(m_queue.ExpectedWait().ms);
-  const double good = kGoodWaitPart * std::max(kLeastTargetMs, m_target_ms);
-  response.pressure = std::max(below, wait / good);
+  response.pressure = std::max(below, wait / kGoodWaitMs);
   response.in_flight = m_queue.in_flight();
   response.waiting = static_cast<uint32_t>(m_queue.waiting());
 }
--- a/src/programs/mesh/caller_entry.cc
+++ b/src/programs/mesh/caller_entry.cc
@@ -119,7 +119,6 @@
   passage.hop.priority = let_in.priority;
   passage.hop.nested = let_in.account == nullptr;
   passage.hop.kind = let_in.route->spec.kind;
-  passage.hop.target_latency = let_in.route->spec.target_latency;
   m_view.CountRequest(passage.hop.service);
   co_await SendUntilDone(passage, std::move(scope));
   co_return Finish(passage);
