Let requests without an answer not open the gate

Nodes refused half of the requests as overloaded and let the other half in, which timed out: a request that timed out brought no word of the member's pressure and counted as pressure 0, so the mean stayed below 1 and the gate opened again: the overload fed itself. The same zeros rose through the nodes in between.

--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -443,11 +443,12 @@
   uint32_t waiting = 0;
   Duration retry_after{0};
   double pressure = 0;
+  bool has_load = false;
 
   bool operator==(const HopResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 10> kHopResponseFields{{
+inline constexpr std::array<FieldInfo, 11> kHopResponseFields{{
     {"outcome", "", 0, 0, "", "", "", {}},
     {"reason", "", 0, 0, "", "", "", {}},
     {"status", "", 0, 0, "", "", "", {}},
@@ -458,6 +459,7 @@
     {"waiting", "", 0, 0, "", "", "", {}},
     {"retry_after", "ms", 0, 0, "", "", "", {}},
     {"pressure", "", 0, 0, "", "", "", {}},
+    {"has_load", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -474,6 +476,7 @@
   visit(kHopResponseFields[7], self.waiting);
   visit(kHopResponseFields[8], self.retry_after);
   visit(kHopResponseFields[9], self.pressure);
+  visit(kHopResponseFields[10], self.has_load);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -491,6 +494,7 @@
   visit(kHopResponseFields[7], self.waiting, other.waiting);
   visit(kHopResponseFields[8], self.retry_after, other.retry_after);
   visit(kHopResponseFields[9], self.pressure, other.pressure);
+  visit(kHopResponseFields[10], self.has_load, other.has_load);
 }
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/decisions/traffic/pressure_gate.h
+++ b/include/rosemarywinch/decisions/traffic/pressure_gate.h
@@ -9,6 +9,9 @@
 
 namespace rosemarywinch {
 
+/// Pressure that a request which timed out tells of.
+inline constexpr double kPressureOfTimeout = 2.0;
+
 /// Admission by the whole call graph, at the node that takes a request.
 ///
 /// Answers the pattern "a small service deep in the graph limits the rest":
@@ -35,6 +38,8 @@
   double m_admitted = 1;
   double m_pressure_sum = 0;
   uint32_t m_pressures = 0;
+  /// Requests let in since the last adjustment.
+  uint32_t m_let_in = 0;
   TimePoint m_adjusted;
   /// Recent offers by rank, weighted by their age.
   std::map<uint32_t, double> m_offers;
--- a/src/programs/mesh/backend_door.cc
+++ b/src/programs/mesh/backend_door.cc
@@ -261,6 +261,7 @@
                           ? 0
                           : static_cast<double>(m_queue.ExpectedWait().ms);
   response.pressure = std::max(below, wait / kGoodWaitMs);
+  response.has_load = true;
   response.in_flight = m_queue.in_flight();
   response.waiting = static_cast<uint32_t>(m_queue.waiting());
 }
--- a/src/programs/mesh/caller_entry.cc
+++ b/src/programs/mesh/caller_entry.cc
@@ -35,14 +35,24 @@
   return failed ? CallResult::kFailed : CallResult::kAnswered;
 }
 
-// Only the node itself fills in its load; 0 of both stands for no word.
 std::optional<LoadReport> LoadOf(const HopResponse& response) {
-  if (response.in_flight == 0 && response.waiting == 0) {
+  if (!response.has_load) {
     return std::nullopt;
   }
   return LoadReport{response.in_flight, response.waiting};
 }
 
+// Pressure that an answer tells of. A member that has not answered by the
+// deadline counts as short of room; one that could not be reached says nothing.
+std::optional<double> PressureOf(const HopResponse& response) {
+  if (response.has_load) {
+    return response.pressure;
+  }
+  const bool timed_out = response.outcome == HopOutcome::kUnknown &&
+                         response.reason == ErrorId::kDeadlinePassed;
+  return timed_out ? std::optional(kPressureOfTimeout) : std::nullopt;
+}
+
 }  // namespace
 
 CallerEntry::CallerEntry(std::string own_service,
@@ -158,8 +168,9 @@
   const Duration took = m_clock.Now() - began;
   m_view.FinishCall(passage.hop.service, member.node, ResultOf(response), took,
                     LoadOf(response));
-  m_view.NotePressure(passage.hop.service, response.pressure,
-                      passage.hop.nested);
+  if (const auto pressure = PressureOf(response)) {
+    m_view.NotePressure(passage.hop.service, *pressure, passage.hop.nested);
+  }
   if (response.reached_backend) {
     ++passage.reached;
   } else {
