--- a/include/rosemarywinch/decisions/traffic/pressure_gate.h
+++ b/include/rosemarywinch/decisions/traffic/pressure_gate.h
@@ -38,8 +38,6 @@
   double m_admitted = 1;
   double m_pressure_sum = 0;
   uint32_t m_pressures = 0;
-  /// Requests let in since the last adjustment.
-  uint32_t m_let_in = 0;
   TimePoint m_adjusted;
   /// Recent offers by rank, weighted by their age.
   std::map<uint32_t, double> m_offers;
--- a/src/decisions/traffic/pressure_gate.cc
+++ b/src/decisions/traffic/pressure_gate.cc
@@ -27,9 +27,7 @@
 bool PressureGate::Admit(TimePoint now, uint32_t rank, double point) {
   Adjust(now);
   m_offers[rank] += 1;
-  const bool let_in = m_admitted >= 1 || point < ChanceOf(rank);
-  m_let_in += let_in ? 1 : 0;
-  return let_in;
+  return m_admitted >= 1 || point < ChanceOf(rank);
 }
 
 void PressureGate::OnPressure(TimePoint now, double pressure) {
@@ -46,13 +44,12 @@
   if (pressure > 1) {
     const double cut = 1 - kCutPerPressure * (pressure - 1);
     m_admitted *= std::clamp(cut, kHardestCut, kGentlestCut);
-  } else if (m_pressures > 0 || m_let_in == 0) {
+  } else {
     m_admitted += kRecovery;
   }
   m_admitted = std::clamp(m_admitted, kLeastAdmitted, 1.0);
   m_pressure_sum = 0;
   m_pressures = 0;
-  m_let_in = 0;
   m_adjusted = now;
   for (auto& [rank, offers] : m_offers) {
     offers *= kOfferMemory;
