Let the gate wait for six answers before it moves

Cause: a node sees about one answer of a service in 200 ms, so one slow member decided, and cuts of 5 to 25 % against openings of 2 % drove the gate shut.

--- a/src/decisions/traffic/pressure_gate.cc
+++ b/src/decisions/traffic/pressure_gate.cc
@@ -8,11 +8,15 @@
 namespace {
 
 constexpr Duration kAdjustInterval{200};
+// With fewer answers than this one slow member would decide, so the gate waits
+// for more, up to the longest interval.
+constexpr uint32_t kEnoughAnswers = 6;
+constexpr Duration kLongestInterval{1'000};
 // A round trip under load is longer than the interval, so steps are small.
 constexpr double kGentlestCut = 0.95;
 constexpr double kHardestCut = 0.75;
 constexpr double kCutPerPressure = 0.1;
-constexpr double kRecovery = 0.02;
+constexpr double kRecovery = 0.05;
 // Some requests are always let in: they bring the news that room is back.
 constexpr double kLeastAdmitted = 0.05;
 // The least urgent keep this part of the chance of all.
@@ -37,7 +41,8 @@
 }
 
 void PressureGate::Adjust(TimePoint now) {
-  if (now < m_adjusted + kAdjustInterval) {
+  const bool enough = m_pressures >= kEnoughAnswers;
+  if (now < m_adjusted + (enough ? kAdjustInterval : kLongestInterval)) {
     return;
   }
   const double pressure = m_pressures > 0 ? m_pressure_sum / m_pressures : 0;
