Give each word of pressure the time at which it was measured

Requests without a key, sent to every node to see its configuration, made each node a caller of each service; the pressure below was one number without an origin, so nodes told it one another in a circle for good and the gate shut on a fleet at rest. Ruled out: leaked slots (in_flight 0 to 27 of 116), time-outs (below 1 %).

--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -432,6 +432,39 @@
   visit(kHopRequestFields[11], self.kind, other.kind);
 }
 
+struct ServicePressure {
+  std::string service;
+  double pressure = 0;
+  Duration age{0};
+
+  bool operator==(const ServicePressure&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 3> kServicePressureFields{{
+    {"service", "", 0, 0, "", "", "", {}},
+    {"pressure", "", 0, 0, "", "", "", {}},
+    {"age", "ms", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, ServicePressure>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kServicePressureFields[0], self.service);
+  visit(kServicePressureFields[1], self.pressure);
+  visit(kServicePressureFields[2], self.age);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, ServicePressure> && SameType<Other, ServicePressure>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kServicePressureFields[0], self.service, other.service);
+  visit(kServicePressureFields[1], self.pressure, other.pressure);
+  visit(kServicePressureFields[2], self.age, other.age);
+}
+
 struct HopResponse {
   HopOutcome outcome = HopOutcome::kAnswered;
   ErrorId reason = ErrorId::kNone;
@@ -444,11 +477,12 @@
   Duration retry_after{0};
   double pressure = 0;
   bool has_load = false;
+  std::vector<ServicePressure> pressure_below;
 
   bool operator==(const HopResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 11> kHopResponseFields{{
+inline constexpr std::array<FieldInfo, 12> kHopResponseFields{{
     {"outcome", "", 0, 0, "", "", "", {}},
     {"reason", "", 0, 0, "", "", "", {}},
     {"status", "", 0, 0, "", "", "", {}},
@@ -460,6 +494,7 @@
     {"retry_after", "ms", 0, 0, "", "", "", {}},
     {"pressure", "", 0, 0, "", "", "", {}},
     {"has_load", "", 0, 0, "", "", "", {}},
+    {"pressure_below", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -477,6 +512,7 @@
   visit(kHopResponseFields[8], self.retry_after);
   visit(kHopResponseFields[9], self.pressure);
   visit(kHopResponseFields[10], self.has_load);
+  visit(kHopResponseFields[11], self.pressure_below);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -495,6 +531,7 @@
   visit(kHopResponseFields[8], self.retry_after, other.retry_after);
   visit(kHopResponseFields[9], self.pressure, other.pressure);
   visit(kHopResponseFields[10], self.has_load, other.has_load);
+  visit(kHopResponseFields[11], self.pressure_below, other.pressure_below);
 }
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/decisions/traffic/pressure_gate.h
+++ b/include/rosemarywinch/decisions/traffic/pressure_gate.h
@@ -43,24 +43,6 @@
   std::map<uint32_t, double> m_offers;
 };
 
-/// What is known of the pressure on the services that the local backend server
-/// calls. The caller serialises all calls.
-class PressureBelow {
- public:
-  void OnAnswer(TimePoint now, const std::string& service, double pressure);
-
-  /// Returns the greatest pressure of late.
-  double Greatest(TimePoint now) const;
-
- private:
-  struct Service {
-    double pressure = 0;
-    TimePoint heard;
-  };
-
-  std::map<std::string, Service> m_services;
-};
-
 }  // namespace rosemarywinch
 
 #endif  // ROSEMARYWINCH_DECISIONS_TRAFFIC_PRESSURE_GATE_H_
--- a/include/rosemarywinch/programs/mesh/backend_door.h
+++ b/include/rosemarywinch/programs/mesh/backend_door.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "rosemarywinch/adapters/async/backend_channel.h"
 #include "rosemarywinch/adapters/async/one_shot.h"
@@ -44,10 +45,13 @@
   size_t open_requests() const;
 
   /// Sets who knows the pressure on what the backend server calls.
-  void OnAskPressure(std::function<double()> below) {
+  void OnAskPressure(std::function<std::vector<ServicePressure>()> below) {
     m_pressure_below = std::move(below);
   }
 
+  /// Sets what is called when the backend server is sent a request.
+  void OnRun(std::function<void()> run) { m_run = std::move(run); }
+
   /// Sets what is called when the state of the backend server changes.
   void OnChange(std::function<void()> changed) {
     m_changed = std::move(changed);
@@ -75,7 +79,8 @@
   Clock& m_clock;
   BackendChannel m_channel;
   std::function<void()> m_changed;
-  std::function<double()> m_pressure_below;
+  std::function<void()> m_run;
+  std::function<std::vector<ServicePressure>()> m_pressure_below;
   mutable std::mutex m_mutex;
   BackendPresence m_presence;
   std::string m_noted;
--- a/include/rosemarywinch/programs/mesh/caller_entry.h
+++ b/include/rosemarywinch/programs/mesh/caller_entry.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "rosemarywinch/adapters/async/request_scope.h"
 #include "rosemarywinch/adapters/metrics.h"
@@ -54,6 +55,9 @@
   asio::awaitable<void> SendOnce(Passage& passage,
                                  const Member& member,
                                  std::shared_ptr<RequestScope> scope);
+  void NotePressure(const Passage& passage,
+                    double pressure,
+                    const std::vector<ServicePressure>& below);
   bool MaySendAgain(const Passage& passage) const;
   HttpResponse Finish(const Passage& passage);
   HttpResponse Refuse(const std::string& request_id,
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -14,6 +14,7 @@
 #include "rosemarywinch/core/sharded.h"
 #include "rosemarywinch/decisions/control/quota_cache.h"
 #include "rosemarywinch/decisions/mesh/entry_check.h"
+#include "rosemarywinch/decisions/traffic/called_services.h"
 #include "rosemarywinch/decisions/traffic/pressure_gate.h"
 #include "rosemarywinch/decisions/traffic/retry_budget.h"
 #include "rosemarywinch/decisions/traffic/router.h"
@@ -67,11 +68,19 @@
 
   /// Decides by the pressure on `service` whether a fresh request may start.
   bool AdmitFresh(const std::string& service, uint32_t rank);
-  /// Takes over the pressure that came with an answer of `service`; `nested`
-  /// tells whether the local backend server had called it.
-  void NotePressure(const std::string& service, double pressure, bool nested);
+  /// Learns from the pressure that came with an answer to a fresh request.
+  void NotePressure(const std::string& service, double pressure);
+
+  /// Counts a request that the local backend server begins to run, and a call
+  /// that it makes of `service`.
+  void CountRun();
+  void CountCall(const std::string& service);
+  /// Learns from the pressure that came with an answer to such a call.
+  void NotePressureBelow(const std::string& service,
+                         double pressure,
+                         const std::vector<ServicePressure>& below);
   /// Returns the pressure on what the local backend server calls.
-  double PressureOnCalls();
+  std::vector<ServicePressure> PressureBelow();
 
   /// Chooses a part of a route's split.
   std::string ServiceOf(const MeshRoute& route);
@@ -114,8 +123,8 @@
   Known m_known;
   Sharded<ServiceShard> m_services;
   Sharded<AccountShard> m_accounts;
-  std::mutex m_below_mutex;
-  PressureBelow m_below;
+  std::mutex m_called_mutex;
+  CalledServices m_called;
   std::mutex m_news_mutex;
   std::vector<std::shared_ptr<OneShot<bool>>> m_news;
 };
--- a/src/decisions/traffic/pressure_gate.cc
+++ b/src/decisions/traffic/pressure_gate.cc
@@ -22,9 +22,6 @@
 // The least urgent keep this part of the chance of all.
 constexpr double kLeastShare = 0.4;
 constexpr double kOfferMemory = 0.8;
-constexpr double kPressureWeight = 0.2;
-// What is known of a service below is believed for this long.
-constexpr Duration kPressureAge{1'000};
 
 }  // namespace
 
@@ -75,22 +72,4 @@
   return std::max(strict, m_admitted * kLeastShare);
 }
 
-void PressureBelow::OnAnswer(TimePoint now,
-                             const std::string& service,
-                             double pressure) {
-  Service& known = m_services[service];
-  known.pressure += kPressureWeight * (pressure - known.pressure);
-  known.heard = now;
-}
-
-double PressureBelow::Greatest(TimePoint now) const {
-  double greatest = 0;
-  for (const auto& [name, service] : m_services) {
-    if (now < service.heard + kPressureAge) {
-      greatest = std::max(greatest, service.pressure);
-    }
-  }
-  return greatest;
-}
-
 }  // namespace rosemarywinch
--- a/src/programs/mesh/backend_door.cc
+++ b/src/programs/mesh/backend_door.cc
@@ -130,6 +130,7 @@
     response.retry_after = m_queue.ExpectedWait();
   } else {
     const TimePoint began = m_clock.Now();
+    m_run();
     response = co_await SendToBackend(request, deadline, scope);
     const Duration took = m_clock.Now() - began;
     FinishTurn({static_cast<double>(took.ms),
@@ -255,12 +256,12 @@
 }
 
 void BackendDoor::AddLoad(HopResponse& response) const {
-  const double below = m_pressure_below();
+  response.pressure_below = m_pressure_below();
   std::scoped_lock lock(m_mutex);
   const double wait = m_queue.waiting() == 0
                           ? 0
                           : static_cast<double>(m_queue.ExpectedWait().ms);
-  response.pressure = std::max(below, wait / kGoodWaitMs);
+  response.pressure = wait / kGoodWaitMs;
   response.has_load = true;
   response.in_flight = m_queue.in_flight();
   response.waiting = static_cast<uint32_t>(m_queue.waiting());
--- a/src/programs/mesh/caller_entry.cc
+++ b/src/programs/mesh/caller_entry.cc
@@ -42,7 +42,7 @@
   return LoadReport{response.in_flight, response.waiting};
 }
 
-// Pressure that an answer tells of. A member that has not answered by the
+// Pressure of the member itself that an answer tells of. A member that has not answered by the
 // deadline counts as short of room; one that could not be reached says nothing.
 std::optional<double> PressureOf(const HopResponse& response) {
   if (response.has_load) {
@@ -130,6 +130,9 @@
   passage.hop.nested = let_in.account == nullptr;
   passage.hop.kind = let_in.route->spec.kind;
   m_view.CountRequest(passage.hop.service);
+  if (passage.hop.nested) {
+    m_view.CountCall(passage.hop.service);
+  }
   co_await SendUntilDone(passage, std::move(scope));
   co_return Finish(passage);
 }
@@ -169,7 +172,7 @@
   m_view.FinishCall(passage.hop.service, member.node, ResultOf(response), took,
                     LoadOf(response));
   if (const auto pressure = PressureOf(response)) {
-    m_view.NotePressure(passage.hop.service, *pressure, passage.hop.nested);
+    NotePressure(passage, *pressure, response.pressure_below);
   }
   if (response.reached_backend) {
     ++passage.reached;
@@ -191,6 +194,17 @@
   passage.last = std::move(response);
 }
 
+void CallerEntry::NotePressure(const Passage& passage,
+                               double pressure,
+                               const std::vector<ServicePressure>& below) {
+  if (passage.hop.nested) {
+    m_view.NotePressureBelow(passage.hop.service, pressure, below);
+  } else {
+    m_view.NotePressure(passage.hop.service,
+                        std::max(pressure, GreatestPressure(below)));
+  }
+}
+
 bool CallerEntry::MaySendAgain(const Passage& passage) const {
   const HopResponse& last = passage.last;
   const bool time_left = m_clock.Now() + kLeastTimeToSend < passage.deadline;
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -69,7 +69,8 @@
                 [this](const auto& seeds) { m_poller.SetSeeds(seeds); }) {
     m_view.OnUrgent([this] { m_poller.Poke(); });
     m_door.OnChange([this] { m_poller.Poke(); });
-    m_door.OnAskPressure([this] { return m_view.PressureOnCalls(); });
+    m_door.OnRun([this] { m_view.CountRun(); });
+    m_door.OnAskPressure([this] { return m_view.PressureBelow(); });
   }
 
   Result<ExitCode> Run() {
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -249,23 +249,33 @@
   });
 }
 
-void MeshView::NotePressure(const std::string& service,
-                            double pressure,
-                            bool nested) {
+void MeshView::NotePressure(const std::string& service, double pressure) {
   const TimePoint now = m_clock.Now();
-  if (nested) {
-    std::scoped_lock lock(m_below_mutex);
-    m_below.OnAnswer(now, service, pressure);
-    return;
-  }
   m_services.With(service, [&](ServiceShard& shard) {
     shard.gates[service].OnPressure(now, pressure);
   });
 }
 
-double MeshView::PressureOnCalls() {
-  std::scoped_lock lock(m_below_mutex);
-  return m_below.Greatest(m_clock.Now());
+void MeshView::CountRun() {
+  std::scoped_lock lock(m_called_mutex);
+  m_called.OnRun(m_clock.Now());
+}
+
+void MeshView::CountCall(const std::string& service) {
+  std::scoped_lock lock(m_called_mutex);
+  m_called.OnCall(m_clock.Now(), service);
+}
+
+void MeshView::NotePressureBelow(const std::string& service,
+                                 double pressure,
+                                 const std::vector<ServicePressure>& below) {
+  std::scoped_lock lock(m_called_mutex);
+  m_called.OnAnswer(m_clock.Now(), service, pressure, below);
+}
+
+std::vector<ServicePressure> MeshView::PressureBelow() {
+  std::scoped_lock lock(m_called_mutex);
+  return m_called.Known(m_clock.Now());
 }
 
 std::string MeshView::ServiceOf(const MeshRoute& route) {
--- a/tests/unit-pressure.cpp
+++ b/tests/unit-pressure.cpp
@@ -108,16 +108,3 @@
   service.Run({5'000}, {{0, 20}, {2, 40}});
   BOOST_TEST(service.PartOf(2) > 0.99);
 }
-
-// Pressure rises through a node from the services that its backend server
-// calls, and is forgotten when nothing is heard of them.
-BOOST_AUTO_TEST_CASE(pressure_below_is_known_for_a_while) {
-  PressureBelow below;
-  const TimePoint now{10'000};
-  for (int i = 0; i < 50; ++i) {
-    below.OnAnswer(now, "workshop", 4);
-    below.OnAnswer(now, "pricing", 0.5);
-  }
-  BOOST_TEST(below.Greatest(now) > 3.5);
-  BOOST_TEST(below.Greatest(now + Duration{5'000}) == 0);
-}
