Leave backend servers the last slots free

Change: LimitWithHeadroom() gives 94 % of the announced slots; the case in unit-admission-queue models a server with such a knee (the function is new, so the case did not fail first; without headroom its ratio is 1).

--- a/include/rosemarywinch/decisions/traffic/concurrency_limit.h
+++ b/include/rosemarywinch/decisions/traffic/concurrency_limit.h
@@ -51,6 +51,11 @@
 /// Makes the limit of a policy for a backend server with `slots` slots.
 ConcurrencyLimit MakeLimit(LimitPolicy policy, uint32_t slots);
 
+/// Makes a limit that leaves a part of the slots free, for the pattern "a
+/// backend server slows down when it is nearly full": there, the last slots
+/// cost more than they bring. Probes and new connections hold slots too.
+StaticLimit LimitWithHeadroom(uint32_t slots);
+
 /// Returns how many calls may run at a time.
 uint32_t CurrentLimit(const ConcurrencyLimit& limit);
 
--- a/src/decisions/traffic/concurrency_limit.cc
+++ b/src/decisions/traffic/concurrency_limit.cc
@@ -24,6 +24,9 @@
 constexpr double kRelief = 0.95;
 constexpr uint32_t kUselessShrinks = 2;
 
+// Part of the slots that LimitWithHeadroom() uses.
+constexpr double kUsedPart = 0.94;
+
 void ForgetShrinks(AdaptiveLimit& limit) {
   limit.shrinks = 0;
   limit.useless_shrinks = 0;
@@ -99,6 +102,11 @@
   return limit;
 }
 
+StaticLimit LimitWithHeadroom(uint32_t slots) {
+  const auto used = static_cast<uint32_t>(slots * kUsedPart);
+  return StaticLimit{std::max<uint32_t>(1, used)};
+}
+
 uint32_t CurrentLimit(const ConcurrencyLimit& limit) {
   return std::visit(
       Overloaded{[](const NoLimit&) { return kUnlimited; },
--- a/src/programs/mesh/backend_door.cc
+++ b/src/programs/mesh/backend_door.cc
@@ -60,7 +60,7 @@
     verdict = m_presence.OnReport(now, call.backend_id, call.report);
     const auto after = m_presence.Current(now);
     if (after) {
-      Tell(m_queue.SetLimit(now, StaticLimit{after->slots}));
+      Tell(m_queue.SetLimit(now, LimitWithHeadroom(after->slots)));
     }
     if (before && after && before->id != after->id) {
       m_channel.Clear();
--- a/tests/unit-admission-queue.cpp
+++ b/tests/unit-admission-queue.cpp
@@ -179,5 +179,24 @@
              1000 * RetryBudget::kRetryShare + RetryBudget::kMaxSaved);
 }
 
+// Answers a second of a backend server that runs `limit` calls at a time, each
+// 30 ms long, but 1.3 times as long while nearly all slots are in use.
+double ThroughputWithKnee(uint32_t limit, uint32_t slots) {
+  constexpr double kCallSeconds = 0.030;
+  const bool slow = limit > 0.95 * slots;
+  return limit / (kCallSeconds * (slow ? 1.3 : 1.0));
+}
+
+// Pattern: overload of a backend server that slows down when nearly full.
+BOOST_AUTO_TEST_CASE(headroom_keeps_a_backend_server_out_of_its_slow_range) {
+  for (const uint32_t slots : {20u, 35u, 108u, 154u}) {
+    const uint32_t limit = CurrentLimit(LimitWithHeadroom(slots));
+    BOOST_TEST(ThroughputWithKnee(limit, slots) >
+               1.15 * ThroughputWithKnee(slots, slots));
+    BOOST_TEST(limit >= 0.9 * slots);
+  }
+  BOOST_TEST(CurrentLimit(LimitWithHeadroom(1)) == 1);
+}
+
 }  // namespace
 }  // namespace rosemarywinch
