Let each rank of the gate move by steps of its weight, and no silence open it

Cause 2: each service's gate ranked only its own requests, so urgent ones of one service and others of the next were cut alike for the same full service below. Change: UrgencyScale ranks the requests of a node on one scale; each rank of a gate shrinks by 1/weight of the cut and grows by weight times the recovery, while all aim at the same pressure. On silence the gate opens only when it let nobody in.

--- a/include/rosemarywinch/decisions/traffic/pressure_gate.h
+++ b/include/rosemarywinch/decisions/traffic/pressure_gate.h
@@ -12,35 +12,63 @@
 /// Pressure that a request which timed out tells of.
 inline constexpr double kPressureOfTimeout = 2.0;
 
+/// How urgent the requests of one rank are among those of late at a node.
+///
+/// Answers the pattern "routes of several services share a full service below":
+/// the gates of all services compare their ranks on one scale. The caller
+/// serialises all calls.
+class UrgencyScale {
+ public:
+  /// Counts a request of `rank`, 0 the most urgent.
+  void OnOffer(TimePoint now, uint32_t rank);
+
+  /// Returns the part of the requests that is less urgent than `rank`.
+  double LessUrgentPart(uint32_t rank) const;
+
+ private:
+  TimePoint m_decayed;
+  /// Recent requests by rank, weighted by their age.
+  std::map<uint32_t, double> m_offers;
+};
+
 /// Admission by the whole call graph, at the node that takes a request.
 ///
 /// Answers the pattern "a small service deep in the graph limits the rest":
 /// letting a request in that dies below wastes all the work above. Answers
-/// carry the pressure of the member and of what it calls; while the pressure
-/// on a service is above 1, a growing part of the fresh requests for it is
-/// refused at once, the least urgent first. The caller serialises all calls.
+/// carry the pressure of the member and of what it calls. While the pressure
+/// is above 1, a growing part of the fresh requests is refused at once. The
+/// part of each rank shrinks and grows by steps of its own: the more requests
+/// are less urgent, the greater its weight, so the least urgent are refused
+/// first and return last, while the pressure settles near 1 for all. The
+/// caller serialises all calls.
 class PressureGate {
  public:
-  /// Decides on a fresh request of `rank`, 0 the most urgent; `point` is a
-  /// random number in [0, 1). Complexity: linear in the ranks in use.
-  bool Admit(TimePoint now, uint32_t rank, double point);
+  /// Decides on a fresh request of `rank`; `less_urgent` is the part of the
+  /// requests that is less urgent, `point` a random number in [0, 1).
+  bool Admit(TimePoint now, uint32_t rank, double less_urgent, double point);
 
   /// Learns from the pressure that came with an answer.
   void OnPressure(TimePoint now, double pressure);
 
-  /// Part of the offered requests that is let in.
-  double admitted() const { return m_admitted; }
+  /// Part of the requests of `rank` that is let in.
+  double admitted(uint32_t rank) const;
 
  private:
+  struct Rank {
+    double admitted = 1;
+    double weight = 1;
+  };
+
   void Adjust(TimePoint now);
-  double ChanceOf(uint32_t rank) const;
+  static void Move(Rank& rank, double pressure);
+  void Open();
 
-  double m_admitted = 1;
+  std::map<uint32_t, Rank> m_ranks;
   double m_pressure_sum = 0;
   uint32_t m_pressures = 0;
+  /// Requests let in since the last adjustment.
+  uint32_t m_let_in = 0;
   TimePoint m_adjusted;
-  /// Recent offers by rank, weighted by their age.
-  std::map<uint32_t, double> m_offers;
 };
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -123,6 +123,8 @@
   Known m_known;
   Sharded<ServiceShard> m_services;
   Sharded<AccountShard> m_accounts;
+  std::mutex m_urgency_mutex;
+  UrgencyScale m_urgency;
   std::mutex m_called_mutex;
   CalledServices m_called;
   std::mutex m_news_mutex;
--- a/src/decisions/traffic/called_services.cc
+++ b/src/decisions/traffic/called_services.cc
@@ -15,6 +15,8 @@
 constexpr Duration kCountSpan{10'000};
 // A service counts as called when at least this part of the runs call it.
 constexpr double kLeastCallPart = 0.1;
+// Fewer calls than this are too few to tell.
+constexpr double kLeastCalls = 3;
 // Services that one answer tells of.
 constexpr size_t kMostTold = 8;
 
@@ -83,7 +85,7 @@
 
 bool CalledServices::IsCalled(const std::string& service) const {
   const auto found = m_services.find(service);
-  return found != m_services.end() && found->second.calls > 0 &&
+  return found != m_services.end() && found->second.calls >= kLeastCalls &&
          found->second.calls >= kLeastCallPart * m_runs;
 }
 
--- a/src/decisions/traffic/pressure_gate.cc
+++ b/src/decisions/traffic/pressure_gate.cc
@@ -13,22 +13,51 @@
 constexpr uint32_t kEnoughAnswers = 6;
 constexpr Duration kLongestInterval{1'000};
 // A round trip under load is longer than the interval, so steps are small.
-constexpr double kGentlestCut = 0.95;
-constexpr double kHardestCut = 0.75;
+constexpr double kLeastCut = 0.05;
+constexpr double kGreatestCut = 0.25;
 constexpr double kCutPerPressure = 0.1;
-constexpr double kRecovery = 0.05;
+constexpr double kRecovery = 0.03;
+// Weight of a rank beyond that of the least urgent, when all are less urgent.
+constexpr double kUrgentWeight = 2;
 // Some requests are always let in: they bring the news that room is back.
 constexpr double kLeastAdmitted = 0.05;
-// The least urgent keep this part of the chance of all.
-constexpr double kLeastShare = 0.4;
-constexpr double kOfferMemory = 0.8;
+// Requests of late are those of about this time.
+constexpr Duration kOfferSpan{3'000};
 
 }  // namespace
 
-bool PressureGate::Admit(TimePoint now, uint32_t rank, double point) {
-  Adjust(now);
+void UrgencyScale::OnOffer(TimePoint now, uint32_t rank) {
+  const double age = (now - m_decayed).Seconds() / kOfferSpan.Seconds();
+  if (age > 0) {
+    const double kept = std::exp(-age);
+    for (auto& [other, offers] : m_offers) {
+      offers *= kept;
+    }
+    m_decayed = now;
+  }
   m_offers[rank] += 1;
-  return m_admitted >= 1 || point < ChanceOf(rank);
+}
+
+double UrgencyScale::LessUrgentPart(uint32_t rank) const {
+  double all = 0;
+  double less_urgent = 0;
+  for (const auto& [other, offers] : m_offers) {
+    all += offers;
+    less_urgent += other > rank ? offers : 0;
+  }
+  return all > 0 ? less_urgent / all : 0;
+}
+
+bool PressureGate::Admit(TimePoint now,
+                         uint32_t rank,
+                         double less_urgent,
+                         double point) {
+  Adjust(now);
+  Rank& own = m_ranks[rank];
+  own.weight = 1 + kUrgentWeight * less_urgent;
+  const bool let_in = point < own.admitted;
+  m_let_in += let_in ? 1 : 0;
+  return let_in;
 }
 
 void PressureGate::OnPressure(TimePoint now, double pressure) {
@@ -37,39 +66,47 @@
   Adjust(now);
 }
 
+double PressureGate::admitted(uint32_t rank) const {
+  const auto found = m_ranks.find(rank);
+  return found == m_ranks.end() ? 1.0 : found->second.admitted;
+}
+
 void PressureGate::Adjust(TimePoint now) {
   const bool enough = m_pressures >= kEnoughAnswers;
   if (now < m_adjusted + (enough ? kAdjustInterval : kLongestInterval)) {
     return;
   }
-  const double pressure = m_pressures > 0 ? m_pressure_sum / m_pressures : 0;
-  if (pressure > 1) {
-    const double cut = 1 - kCutPerPressure * (pressure - 1);
-    m_admitted *= std::clamp(cut, kHardestCut, kGentlestCut);
-  } else {
-    m_admitted += kRecovery;
+  if (m_pressures > 0) {
+    const double pressure = m_pressure_sum / m_pressures;
+    for (auto& [number, rank] : m_ranks) {
+      Move(rank, pressure);
+    }
+  } else if (m_let_in == 0) {
+    Open();
   }
-  m_admitted = std::clamp(m_admitted, kLeastAdmitted, 1.0);
+  // Requests that were let in and brought no word say nothing of room.
   m_pressure_sum = 0;
   m_pressures = 0;
+  m_let_in = 0;
   m_adjusted = now;
-  for (auto& [rank, offers] : m_offers) {
-    offers *= kOfferMemory;
+}
+
+void PressureGate::Move(Rank& rank, double pressure) {
+  if (pressure > 1) {
+    const double cut =
+        std::clamp(kCutPerPressure * (pressure - 1), kLeastCut, kGreatestCut);
+    rank.admitted *= 1 - cut / rank.weight;
+  } else {
+    rank.admitted += kRecovery * rank.weight;
   }
+  rank.admitted = std::clamp(rank.admitted, kLeastAdmitted, 1.0);
 }
 
-double PressureGate::ChanceOf(uint32_t rank) const {
-  double all = 0;
-  double before = 0;
-  double own = 0;
-  for (const auto& [other, offers] : m_offers) {
-    all += offers;
-    before += other < rank ? offers : 0;
-    own += other == rank ? offers : 0;
+// Nobody was let in, so nobody could bring news: time alone opens the gate.
+void PressureGate::Open() {
+  for (auto& [number, rank] : m_ranks) {
+    rank.admitted = std::min(1.0, rank.admitted + kRecovery);
   }
-  const double room = m_admitted * all - before;
-  const double strict = own > 0 ? std::clamp(room / own, 0.0, 1.0) : 1.0;
-  return std::max(strict, m_admitted * kLeastShare);
 }
 
 }  // namespace rosemarywinch
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -244,8 +244,14 @@
 bool MeshView::AdmitFresh(const std::string& service, uint32_t rank) {
   const TimePoint now = m_clock.Now();
   const double point = RandomPoint();
+  double less_urgent = 0;
+  {
+    std::scoped_lock lock(m_urgency_mutex);
+    m_urgency.OnOffer(now, rank);
+    less_urgent = m_urgency.LessUrgentPart(rank);
+  }
   return m_services.With(service, [&](ServiceShard& shard) {
-    return shard.gates[service].Admit(now, rank, point);
+    return shard.gates[service].Admit(now, rank, less_urgent, point);
   });
 }
 
--- a/tests/unit-pressure-silence.cpp
+++ b/tests/unit-pressure-silence.cpp
@@ -18,16 +18,16 @@
   TimePoint now{10'000};
   for (int i = 0; i < 1'000; ++i) {
     now = now + kStep;
-    gate.Admit(now, 2, 0.5);
+    gate.Admit(now, 2, 0, 0.5);
     if (i % 10 == 0) {
       gate.OnPressure(now, kPressureOfTimeout);
     }
   }
-  const double shut = gate.admitted();
+  const double shut = gate.admitted(2);
   BOOST_TEST(shut < 0.2);
   for (int i = 0; i < 500; ++i) {
     now = now + kStep;
-    gate.Admit(now, 2, 0.0);
+    gate.Admit(now, 2, 0, 0.0);
   }
-  BOOST_TEST(gate.admitted() <= shut);
+  BOOST_TEST(gate.admitted(2) <= shut);
 }
--- a/tests/unit-pressure.cpp
+++ b/tests/unit-pressure.cpp
@@ -53,7 +53,9 @@
   void Offer(uint32_t rank) {
     m_offered[rank] += 1;
     std::uniform_real_distribution<double> point(0, 1);
-    if (m_gate.Admit(m_now, rank, point(m_random))) {
+    m_scale.OnOffer(m_now, rank);
+    if (m_gate.Admit(m_now, rank, m_scale.LessUrgentPart(rank),
+                     point(m_random))) {
       m_let_in[rank] += 1;
       m_waiting += 1;
     }
@@ -62,6 +64,7 @@
   const double m_capacity;
   TimePoint m_now{10'000};
   std::mt19937 m_random{7};
+  UrgencyScale m_scale;
   PressureGate m_gate;
   double m_waiting = 0;
   double m_longest = 0;
@@ -108,3 +111,64 @@
   service.Run({5'000}, {{0, 20}, {2, 40}});
   BOOST_TEST(service.PartOf(2) > 0.99);
 }
+
+// Pattern: two services call the same small one. The urgent requests of one
+// service go before the others of the other service, though their gates differ.
+BOOST_AUTO_TEST_CASE(urgent_requests_go_first_across_services) {
+  constexpr double kCapacity = 100;
+  constexpr double kUrgentRate = 45;
+  constexpr double kOtherRate = 90;
+  std::mt19937 random{7};
+  std::uniform_real_distribution<double> point(0, 1);
+  UrgencyScale scale;
+  PressureGate billing;
+  PressureGate tracking;
+  TimePoint now{10'000};
+  double waiting = 0;
+  double urgent_let_in = 0;
+  double others_let_in = 0;
+  const auto offer = [&](PressureGate& gate, uint32_t rank, double rate) {
+    double let_in = 0;
+    std::poisson_distribution<int> arrivals(rate * kStep.Seconds());
+    for (int count = arrivals(random); count > 0; --count) {
+      scale.OnOffer(now, rank);
+      const double less_urgent = scale.LessUrgentPart(rank);
+      let_in += gate.Admit(now, rank, less_urgent, point(random)) ? 1 : 0;
+    }
+    return let_in;
+  };
+  constexpr int kSteps = 3'000;
+  for (int step = 0; step < kSteps; ++step) {
+    now = now + kStep;
+    const double urgent = offer(billing, 0, kUrgentRate);
+    const double others = offer(tracking, 2, kOtherRate);
+    urgent_let_in += urgent;
+    others_let_in += others;
+    waiting =
+        std::max(0.0, waiting + urgent + others - kCapacity * kStep.Seconds());
+    const double pressure = waiting / kCapacity / 0.040;
+    billing.OnPressure(now, pressure);
+    tracking.OnPressure(now, pressure);
+  }
+  const double seconds = kSteps * kStep.Seconds();
+  BOOST_TEST(urgent_let_in >= 0.9 * kUrgentRate * seconds);
+  BOOST_TEST(urgent_let_in + others_let_in >= 0.8 * kCapacity * seconds);
+}
+
+// Pattern: traffic pauses after an overload. Nobody can bring news, so the gate
+// opens by itself.
+BOOST_AUTO_TEST_CASE(a_gate_without_requests_opens) {
+  PressureGate gate;
+  TimePoint now{10'000};
+  for (int i = 0; i < 1'000; ++i) {
+    now = now + kStep;
+    gate.Admit(now, 2, 0, 0.99);
+    gate.OnPressure(now, 4);
+  }
+  BOOST_TEST(gate.admitted(2) < 0.1);
+  for (int i = 0; i < 30; ++i) {
+    now = now + Duration{1'000};
+    gate.Admit(now, 2, 0, 0.999);
+  }
+  BOOST_TEST(gate.admitted(2) > 0.9);
+}
