--- a/include/rosemarywinch/adapters/async/async_http_server.h
+++ b/include/rosemarywinch/adapters/async/async_http_server.h
@@ -62,7 +62,7 @@
  private:
   friend class AsyncHttpConnection;
 
-  asio::awaitable<void> AcceptLoop();
+  void Take(Tcp::socket socket);
   void Forget(const AsyncHttpConnection* connection);
 
   asio::io_context& m_context;
--- a/include/rosemarywinch/adapters/async/frame_link.h
+++ b/include/rosemarywinch/adapters/async/frame_link.h
@@ -91,8 +91,6 @@
   Result<Done> Start(const std::string& address);
 
  private:
-  asio::awaitable<void> AcceptLoop();
-
   asio::io_context& m_context;
   const FrameLink::OnFrame m_on_frame;
   const FrameLink::OnClosed m_on_closed;
--- a/include/rosemarywinch/adapters/async/net.h
+++ b/include/rosemarywinch/adapters/async/net.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
+#include <functional>
 #include <string>
 
 #include "rosemarywinch/core/error.h"
@@ -38,6 +39,14 @@
 Result<Tcp::acceptor> Listen(const asio::any_io_executor& executor,
                              const std::string& address);
 
+/// Accepts connections until `acceptor` is closed, and hands each on as a
+/// socket of `executor`. Runs on the executor of `acceptor`, which must outlive
+/// it.
+asio::awaitable<void> AcceptConnections(
+    Tcp::acceptor& acceptor,
+    asio::any_io_executor executor,
+    std::function<void(Tcp::socket)> on_connection);
+
 }  // namespace rosemarywinch
 
 #endif  // ROSEMARYWINCH_ADAPTERS_ASYNC_NET_H_
--- a/src/adapters/async/frame_link.cc
+++ b/src/adapters/async/frame_link.cc
@@ -27,7 +27,6 @@
 constexpr Duration kOwnDelay{400};
 // A link that nobody uses any more sends no pings.
 constexpr Duration kPingAfterUse{10'000};
-constexpr std::chrono::milliseconds kAcceptPause{20};
 
 std::chrono::milliseconds ToChrono(Duration length) {
   return std::chrono::milliseconds(length.ms);
@@ -237,26 +236,16 @@
   BOOST_LEAF_AUTO(acceptor, Listen(m_context.get_executor(), address));
   m_acceptor = std::make_unique<Tcp::acceptor>(std::move(acceptor));
   asio::co_spawn(
-      m_context, [this] { return AcceptLoop(); }, asio::detached);
+      m_context,
+      [this] {
+        return AcceptConnections(
+            *m_acceptor, m_context.get_executor(), [this](Tcp::socket socket) {
+              std::make_shared<FrameLink>(m_context, m_on_frame, m_on_closed)
+                  ->Accept(std::move(socket));
+            });
+      },
+      asio::detached);
   return Done{};
 }
 
-asio::awaitable<void> FrameListener::AcceptLoop() {
-  asio::steady_timer pause(m_context);
-  while (true) {
-    error_code error;
-    Tcp::socket socket = co_await m_acceptor->async_accept(
-        m_context.get_executor(),
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      pause.expires_after(kAcceptPause);
-      co_await pause.async_wait(
-          asio::redirect_error(asio::use_awaitable, error));
-      continue;
-    }
-    std::make_shared<FrameLink>(m_context, m_on_frame, m_on_closed)
-        ->Accept(std::move(socket));
-  }
-}
-
 }  // namespace rosemarywinch
--- a/src/adapters/async/net.cc
+++ b/src/adapters/async/net.cc
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <chrono>
 #include <memory>
+#include <utility>
 
 namespace rosemarywinch {
 
@@ -17,6 +18,8 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr int kKeepAliveProbes = 2;
+// Pause after a failed accept, such as one without a free descriptor.
+constexpr std::chrono::milliseconds kAcceptPause{20};
 
 template <int kName>
 using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
@@ -100,4 +103,22 @@
   return acceptor;
 }
 
+asio::awaitable<void> AcceptConnections(
+    Tcp::acceptor& acceptor,
+    asio::any_io_executor executor,
+    std::function<void(Tcp::socket)> on_connection) {
+  asio::steady_timer pause(acceptor.get_executor());
+  while (acceptor.is_open()) {
+    error_code error;
+    Tcp::socket socket = co_await acceptor.async_accept(
+        executor, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      on_connection(std::move(socket));
+      continue;
+    }
+    pause.expires_after(kAcceptPause);
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
 }  // namespace rosemarywinch
