--- a/src/decisions/traffic/pressure_gate.cc
+++ b/src/decisions/traffic/pressure_gate.cc
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr Duration kAdjustInterval{200};
-// With fewer answers than this one slow member would decide, so the gate waits
-// for more, up to the longest interval.
+// With fewer answers than this one slow member would shut the gate, so it waits
+// for more, up to the longest interval. A gate that is nearly shut gets few
+// answers, so it may open with fewer.
 constexpr uint32_t kEnoughAnswers = 6;
 constexpr Duration kLongestInterval{1'000};
 // A round trip under load is longer than the interval, so steps are small.
@@ -72,12 +73,13 @@
 }
 
 void PressureGate::Adjust(TimePoint now) {
-  const bool enough = m_pressures >= kEnoughAnswers;
-  if (now < m_adjusted + (enough ? kAdjustInterval : kLongestInterval)) {
+  const double pressure = m_pressures > 0 ? m_pressure_sum / m_pressures : 0;
+  const bool may_move =
+      m_pressures >= kEnoughAnswers || (m_pressures > 0 && pressure <= 1);
+  if (now < m_adjusted + (may_move ? kAdjustInterval : kLongestInterval)) {
     return;
   }
   if (m_pressures > 0) {
-    const double pressure = m_pressure_sum / m_pressures;
     for (auto& [number, rank] : m_ranks) {
       Move(rank, pressure);
     }
--- a/tests/unit-pressure.cpp
+++ b/tests/unit-pressure.cpp
@@ -172,3 +172,21 @@
   }
   BOOST_TEST(gate.admitted(2) > 0.9);
 }
+
+// Pattern: a gate that is nearly shut hears little; news of room opens it soon.
+BOOST_AUTO_TEST_CASE(few_answers_with_room_open_the_gate_in_seconds) {
+  PressureGate gate;
+  TimePoint now{10'000};
+  for (int i = 0; i < 1'000; ++i) {
+    now = now + kStep;
+    gate.Admit(now, 2, 0, 0.5);
+    gate.OnPressure(now, 4);
+  }
+  BOOST_TEST(gate.admitted(2) < 0.1);
+  for (int i = 0; i < 80; ++i) {
+    now = now + Duration{100};
+    gate.Admit(now, 2, 0, 0.0);
+    gate.OnPressure(now, 0.2);
+  }
+  BOOST_TEST(gate.admitted(2) > 0.9);
+}
