--- a/tests/unit-called-services.cpp
+++ b/tests/unit-called-services.cpp
@@ -46,9 +46,9 @@
   CalledServices called;
   const TimePoint now{10'000};
   Run(called, now, 10, "billing");
-  called.OnAnswer(now, "billing", 0,
-                  {{"pricing", 0.5, Duration{100}},
-                   {"workshop", 3, Duration{200}}});
+  called.OnAnswer(
+      now, "billing", 0,
+      {{"pricing", 0.5, Duration{100}}, {"workshop", 3, Duration{200}}});
   const auto known = called.Known(now);
   BOOST_TEST_REQUIRE(known.size() == 3);
   BOOST_TEST(known[0].service == "workshop");
