--- a/include/rosemarywinch/decisions/traffic/called_services.h
+++ b/include/rosemarywinch/decisions/traffic/called_services.h
@@ -39,7 +39,7 @@
  private:
   struct Service {
     double calls = 0;
-    /// Whether the local backend server calls it or one above it does.
+    /// It has answered a call of the local backend server itself.
     bool heard_directly = false;
     double pressure = 0;
     TimePoint measured;
