--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -159,12 +159,19 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  bool Open(const std::string& address) {
+  // `receive_buffer` bounds the bytes that arrive before they are read; 0 keeps
+  // the system's default.
+  bool Open(const std::string& address, int receive_buffer = 0) {
     Close();
     m_buffer.clear();
+    m_ended = false;
     m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in name = SocketAddress(address);
     SetNoDelay();
+    if (receive_buffer > 0) {
+      ::setsockopt(m_fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                   sizeof(receive_buffer));
+    }
     if (::connect(m_fd, reinterpret_cast<const sockaddr*>(&name),
                   sizeof(name)) != 0) {
       Close();
@@ -174,6 +181,8 @@
   }
 
   bool open() const { return m_fd >= 0; }
+  // Returns whether the peer has closed or reset the connection.
+  bool ended() const { return m_ended; }
 
   bool Send(const std::string& text) {
     size_t sent = 0;
@@ -237,6 +246,7 @@
     char chunk[65536];
     const ssize_t count = ::recv(m_fd, chunk, sizeof(chunk), 0);
     if (count <= 0) {
+      m_ended = true;
       return false;
     }
     m_buffer.append(chunk, static_cast<size_t>(count));
@@ -264,6 +274,7 @@
   }
 
   int m_fd = -1;
+  bool m_ended = false;
   std::string m_buffer;
 };
 
@@ -359,13 +370,15 @@
            std::string service,
            std::string id,
            Record& record,
-           WorkSeconds work)
+           WorkSeconds work,
+           size_t answer_bytes = 0)
       : m_address(std::move(address)),
         m_service(std::move(service)),
         m_id(std::move(id)),
         m_born(UnixMs()),
         m_record(record),
-        m_work(std::move(work)) {
+        m_work(std::move(work)),
+        m_answer_bytes(answer_bytes) {
     m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -471,7 +484,13 @@
     SleepFor(m_work(request));
     return AnswerText("200 OK",
                       {{"X-Request-Id", id}, {"X-Server-Seal", "seal." + id}},
-                      "answer to " + id);
+                      AnswerBody(id));
+  }
+
+  std::string AnswerBody(const std::string& id) const {
+    std::string body = "answer to " + id;
+    body.resize(std::max(body.size(), m_answer_bytes), '.');
+    return body;
   }
 
   static std::string AnswerText(const std::string& status,
@@ -491,6 +510,7 @@
   const int64_t m_born;
   Record& m_record;
   const WorkSeconds m_work;
+  const size_t m_answer_bytes;
   bool m_ok = false;
   int m_listener = -1;
   std::atomic<bool> m_stopped{false};
@@ -631,20 +651,29 @@
   std::map<int, std::unique_ptr<Process>> m_nodes;
 };
 
-// Two routes to the service `till`, which is what all cases call: /read/ is
-// safe, /pay/ is unsafe. One tenant with one key.
-inline std::string Configuration(int version, int base, int timeout_ms) {
-  const auto route = [&](const std::string& prefix, const std::string& kind) {
+// Routes to the service `till`, /read/ (safe) and /pay/ (unsafe), and to the
+// service `shop`, /shop/ (safe). With `later_route`, there is also /later/ to
+// `till` (safe). One tenant with one key.
+inline std::string Configuration(int version,
+                                 int base,
+                                 int timeout_ms,
+                                 bool later_route = false) {
+  const auto route = [&](const std::string& prefix, const std::string& kind,
+                         const std::string& service) {
     return R"({"hostname":"a.example","path_prefix":")" + prefix +
            R"(","kind":")" + kind + R"(","timeout":)" +
            std::to_string(timeout_ms) +
-           R"(,"target_latency":1500,"priority":0,"service":"till",)" +
-           R"("max_attempts":2,"open":false})";
+           R"(,"target_latency":1500,"priority":0,"service":")" + service +
+           R"(","max_attempts":2,"open":false})";
   };
   return R"({"version":)" + std::to_string(version) + R"(,"base_version":)" +
          std::to_string(base) + R"(,"routes":{"r-read":)" +
-         route("/read/", "idempotent") + R"(,"r-pay":)" +
-         route("/pay/", "at_most_once") +
+         route("/read/", "idempotent", "till") + R"(,"r-pay":)" +
+         route("/pay/", "at_most_once", "till") + R"(,"r-shop":)" +
+         route("/shop/", "idempotent", "shop") +
+         (later_route
+              ? R"(,"r-later":)" + route("/later/", "idempotent", "till")
+              : "") +
          R"(},"services":{"shop":{"health_path":"/health",)" +
          R"("max_connections":310,"protocol":"h1","tls":false},)" +
          R"("till":{"health_path":"/health","max_connections":310,)" +
