--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
 // An upstream has deregistered, and its node has acknowledged it. The node is
 // killed and comes back; a heartbeat that is late makes it use the upstream
 // again.
-#include "support/harness.h"
+#include "harness.h"
 
 namespace review {
 namespace {
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,6 +1,6 @@
 // A client names headers that the system sets in its `Connection` header; they
 // are not sent to the upstream.
-#include "support/harness.h"
+#include "harness.h"
 
 namespace review {
 namespace {
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # run. TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")" || exit 2
 program=$(cd ../.. && pwd)/target/rosemarywinch
-case=../bin/case-$(basename "$PWD")
+case=../.bin/case-$(basename "$PWD")
 [ -x "$case" ] && [ -x "$program" ] || exit 2
 timeout -k 5 115 "$case" "$program" "$PWD"
 result=$?
--- a/review/support/harness.h
+++ b/review/harness.h
@@ -1,8 +1,8 @@
 // Stand-ins for the platform, clients and upstreams, shared by the cases.
 // Every case is one program: it starts the product's processes, plays its
 // clients and upstreams, and judges by what those have seen.
-#ifndef REVIEW_SUPPORT_HARNESS_H_
-#define REVIEW_SUPPORT_HARNESS_H_
+#ifndef REVIEW_HARNESS_H_
+#define REVIEW_HARNESS_H_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -742,4 +742,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_SUPPORT_HARNESS_H_
+#endif  // REVIEW_HARNESS_H_
