--- a/review/harness.h
+++ b/review/harness.h
@@ -392,6 +392,9 @@
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
 
+  // Number of requests that the upstream says it can run at the same time.
+  int slots = 35;
+
   bool ok() const { return m_ok; }
   const std::string& id() const { return m_id; }
 
@@ -423,9 +426,10 @@
   std::string ReportText(const std::string& state) {
     const std::string body =
         R"({"service":")" + m_service + R"(","address":")" + m_address +
-        R"(","zone":"dc","version":"v1","slots":35,"state":")" + state +
-        R"(","cold_left":0,"sequence":)" + std::to_string(++m_sequence) +
-        R"(,"born":)" + std::to_string(m_born) + "}";
+        R"(","zone":"dc","version":"v1","slots":)" + std::to_string(slots) +
+        R"(,"state":")" + state + R"(","cold_left":0,"sequence":)" +
+        std::to_string(++m_sequence) + R"(,"born":)" + std::to_string(m_born) +
+        "}";
     return RequestText("PUT", "/backends/" + m_id,
                        {{"Host", "node"}, {"Content-Type", "application/json"}},
                        body);
@@ -556,6 +560,8 @@
   std::string Local(int i) const { return NodeHost(i) + Port(1); }
   std::string Ready(int i) const { return NodeHost(i) + Port(2); }
   std::string App(int i) const { return NodeHost(i) + Port(3); }
+  // Address at which control replicas and nodes talk to a control replica.
+  std::string ControlPeer(int i) const { return ControlHost(i) + Port(4); }
   const std::string& folder() const { return m_folder; }
 
   void StartControl(int i, bool founding) {
@@ -571,7 +577,9 @@
     m_controls[static_cast<size_t>(i)] = Start(name, "control", settings);
   }
 
-  void StartNode(int i, const std::string& service) {
+  // `control_port` is where the node finds the control replicas; 0 is the port
+  // at which they listen.
+  void StartNode(int i, const std::string& service, int control_port = 0) {
     const std::string name = "sidecar-" + std::to_string(i);
     const std::string host = NodeHost(i);
     const std::string settings =
@@ -579,8 +587,8 @@
         "\nbackend_address = " + App(i) + "\ncaller_address = " + Outbound(i) +
         "\nlocal_address = " + Local(i) + "\nready_address = " + Ready(i) +
         "\npeer_address = " + host + Port(4) + "\nmetrics_address = " + host +
-        Port(5) + "\nseeds = " + Seeds() +
-        "\ncontrol_peer_port = " + Port(4).substr(1) +
+        Port(5) + "\nseeds = " + Seeds() + "\ncontrol_peer_port = " +
+        (control_port > 0 ? std::to_string(control_port) : Port(4).substr(1)) +
         "\nreport_interval = 1500\nstop_grace = 6\n";
     m_nodes[i] = Start(name, "node", settings);
   }
