Store departures of backend servers in control before they are acknowledged

Cause: the departure was known to the memory of one process. A new process took the first report that it saw for the newest. A notice of an incarnation that the process didn't know was acknowledged and dropped; a report of leaving that was overtaken was ignored.

Ruled out: a stale list of members at other nodes (the node beside the backend server is the only one that sends to it, and it took the late heartbeat itself); a health check after a restart (a server that leaves may be healthy); a pause before the first report is trusted (only moves the time).

Change: control stores the departure in the replicated state; the node acknowledges it when a poll shows it stored, and 503 otherwise; a process uses no backend server before it knows the stored departures. Why it works: a poll is answered from a leader that may serve, so whatever was acknowledged to an earlier process is in the first poll of the next one.

A notice without `born` for an unknown id is now refused with 400: it named no incarnation and was dropped before.

--- a/gen/rosemarywinch/schema/control.h
+++ b/gen/rosemarywinch/schema/control.h
@@ -438,11 +438,13 @@
   std::vector<QuotaReport> quotas;
   bool tokens_only = false;
   double pressure = 0;
+  std::vector<Departure> departures;
+  bool wants_departures = false;
 
   bool operator==(const PollRequest&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 14> kPollRequestFields{{
+inline constexpr std::array<FieldInfo, 16> kPollRequestFields{{
     {"protocol_version", "", 0, 0, "", "", "", {}},
     {"cluster", "", 0, 0, "", "", "", {}},
     {"node", "", 0, 0, "", "", "", {}},
@@ -457,6 +459,8 @@
     {"quotas", "", 0, 0, "", "", "", {}},
     {"tokens_only", "", 0, 0, "", "", "", {}},
     {"pressure", "", 0, 0, "", "", "", {}},
+    {"departures", "", 0, 0, "", "", "", {}},
+    {"wants_departures", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -477,6 +481,8 @@
   visit(kPollRequestFields[11], self.quotas);
   visit(kPollRequestFields[12], self.tokens_only);
   visit(kPollRequestFields[13], self.pressure);
+  visit(kPollRequestFields[14], self.departures);
+  visit(kPollRequestFields[15], self.wants_departures);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -499,6 +505,8 @@
   visit(kPollRequestFields[11], self.quotas, other.quotas);
   visit(kPollRequestFields[12], self.tokens_only, other.tokens_only);
   visit(kPollRequestFields[13], self.pressure, other.pressure);
+  visit(kPollRequestFields[14], self.departures, other.departures);
+  visit(kPollRequestFields[15], self.wants_departures, other.wants_departures);
 }
 
 struct PollResponse {
@@ -517,11 +525,13 @@
   std::vector<QuotaGrant> quotas;
   bool pressures_known = false;
   std::vector<FleetPressure> pressures;
+  bool departures_known = false;
+  std::vector<Departure> departures;
 
   bool operator==(const PollResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 15> kPollResponseFields{{
+inline constexpr std::array<FieldInfo, 17> kPollResponseFields{{
     {"cluster", "", 0, 0, "", "", "", {}},
     {"term", "", 0, 0, "", "", "", {}},
     {"sequence", "", 0, 0, "", "", "", {}},
@@ -537,6 +547,8 @@
     {"quotas", "", 0, 0, "", "", "", {}},
     {"pressures_known", "", 0, 0, "", "", "", {}},
     {"pressures", "", 0, 0, "", "", "", {}},
+    {"departures_known", "", 0, 0, "", "", "", {}},
+    {"departures", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -558,6 +570,8 @@
   visit(kPollResponseFields[12], self.quotas);
   visit(kPollResponseFields[13], self.pressures_known);
   visit(kPollResponseFields[14], self.pressures);
+  visit(kPollResponseFields[15], self.departures_known);
+  visit(kPollResponseFields[16], self.departures);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -581,6 +595,8 @@
   visit(kPollResponseFields[12], self.quotas, other.quotas);
   visit(kPollResponseFields[13], self.pressures_known, other.pressures_known);
   visit(kPollResponseFields[14], self.pressures, other.pressures);
+  visit(kPollResponseFields[15], self.departures_known, other.departures_known);
+  visit(kPollResponseFields[16], self.departures, other.departures);
 }
 
 struct PollReply {
--- a/gen/rosemarywinch/schema/fleet.h
+++ b/gen/rosemarywinch/schema/fleet.h
@@ -376,6 +376,93 @@
   visit(kPutConfigurationFields[3], self.fingerprint, other.fingerprint);
 }
 
+struct Departure {
+  std::string backend_id;
+  Duration born{0};
+
+  bool operator==(const Departure&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 2> kDepartureFields{{
+    {"backend_id", "", 0, 0, "", "", "", {}},
+    {"born", "ms", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, Departure>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kDepartureFields[0], self.backend_id);
+  visit(kDepartureFields[1], self.born);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, Departure> && SameType<Other, Departure>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kDepartureFields[0], self.backend_id, other.backend_id);
+  visit(kDepartureFields[1], self.born, other.born);
+}
+
+struct RecordDeparture {
+  std::string node;
+  Departure departure;
+
+  bool operator==(const RecordDeparture&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 2> kRecordDepartureFields{{
+    {"node", "", 0, 0, "", "", "", {}},
+    {"departure", "", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, RecordDeparture>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kRecordDepartureFields[0], self.node);
+  visit(kRecordDepartureFields[1], self.departure);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, RecordDeparture> && SameType<Other, RecordDeparture>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kRecordDepartureFields[0], self.node, other.node);
+  visit(kRecordDepartureFields[1], self.departure, other.departure);
+}
+
+struct NodeDepartures {
+  std::vector<Departure> departures;
+  uint64_t order = 0;
+
+  bool operator==(const NodeDepartures&) const = default;
+};
+
+inline constexpr std::array<FieldInfo, 2> kNodeDeparturesFields{{
+    {"departures", "", 0, 0, "", "", "", {}},
+    {"order", "", 0, 0, "", "", "", {}},
+}};
+
+template <typename Self, typename Visitor>
+requires SameType<Self, NodeDepartures>
+void VisitFields([[maybe_unused]] Self& self,
+                 [[maybe_unused]] Visitor&& visit) {
+  visit(kNodeDeparturesFields[0], self.departures);
+  visit(kNodeDeparturesFields[1], self.order);
+}
+
+template <typename Self, typename Other, typename Visitor>
+requires SameType<Self, NodeDepartures> && SameType<Other, NodeDepartures>
+void VisitFieldPairs([[maybe_unused]] Self& self,
+                     [[maybe_unused]] Other& other,
+                     [[maybe_unused]] Visitor&& visit) {
+  visit(kNodeDeparturesFields[0], self.departures, other.departures);
+  visit(kNodeDeparturesFields[1], self.order, other.order);
+}
+
 struct FleetCommand {
   std::string operation_id;
   std::string author;
@@ -384,14 +471,16 @@
                ChangeTree,
                GiveKey,
                WithdrawKey,
-               PutConfiguration>
+               PutConfiguration,
+               RecordDeparture>
       change;
 
   bool operator==(const FleetCommand&) const = default;
 };
 
-inline constexpr std::array<std::string_view, 5> kFleetCommandChangeNames{
-    "none", "change_tree", "give_key", "withdraw_key", "put_configuration"};
+inline constexpr std::array<std::string_view, 6> kFleetCommandChangeNames{
+    "none",         "change_tree",       "give_key",
+    "withdraw_key", "put_configuration", "record_departure"};
 
 inline constexpr std::array<FieldInfo, 4> kFleetCommandFields{{
     {"operation_id", "", 0, 0, "", "", "", {}},
@@ -616,17 +705,19 @@
   std::vector<HistoryRecord> history;
   std::vector<OperationRecord> operations;
   ConfigurationRecord configuration;
+  std::map<std::string, NodeDepartures> departures;
 
   bool operator==(const FleetState&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 6> kFleetStateFields{{
+inline constexpr std::array<FieldInfo, 7> kFleetStateFields{{
     {"version", "", 0, 0, "", "", "", {}},
     {"tree", "", 0, 0, "", "", "", {}},
     {"keys", "", 0, 0, "", "", "", {}},
     {"history", "", 0, 0, "", "", "", {}},
     {"operations", "", 0, 0, "", "", "", {}},
     {"configuration", "", 0, 0, "", "", "", {}},
+    {"departures", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -639,6 +730,7 @@
   visit(kFleetStateFields[3], self.history);
   visit(kFleetStateFields[4], self.operations);
   visit(kFleetStateFields[5], self.configuration);
+  visit(kFleetStateFields[6], self.departures);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -652,6 +744,7 @@
   visit(kFleetStateFields[3], self.history, other.history);
   visit(kFleetStateFields[4], self.operations, other.operations);
   visit(kFleetStateFields[5], self.configuration, other.configuration);
+  visit(kFleetStateFields[6], self.departures, other.departures);
 }
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/decisions/fleet/fleet_store.h
+++ b/include/rosemarywinch/decisions/fleet/fleet_store.h
@@ -25,8 +25,9 @@
 /// node that applies the same commands in the same order holds the same state.
 /// A resent command, recognised by its operation id, returns its first result,
 /// and kOperationReused if it differs from the first. PutConfiguration is
-/// recognised by version and fingerprint instead.
-/// Complexity: linear in the tree for ChangeTree, in the keys for GiveKey.
+/// recognised by version and fingerprint instead; RecordDeparture may be
+/// applied any number of times and changes no version. Complexity: linear in
+/// the tree for ChangeTree, in the keys for GiveKey.
 CommandResult ApplyCommand(FleetState& state, const FleetCommand& command);
 
 /// Applies a command that control has accepted as version `record.version`.
--- a/include/rosemarywinch/decisions/mesh/backend_presence.h
+++ b/include/rosemarywinch/decisions/mesh/backend_presence.h
@@ -3,8 +3,10 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "rosemarywinch/core/time.h"
+#include "rosemarywinch/decisions/mesh/departure_tracker.h"
 #include "rosemarywinch/schema/control.h"
 #include "rosemarywinch/schema/mesh.h"
 
@@ -29,11 +31,18 @@
   kInvalid,
 };
 
+/// Returns the departure that a valid report states, if its backend server is
+/// leaving.
+std::optional<Departure> DepartureIn(const std::string& id,
+                                     const BackendReport& report);
+
 /// Tracks the state of the one backend server beside this node from its
 /// reports. Not thread-safe: the caller serialises all calls.
 ///
 /// An incarnation is identified by an id and a start time. Leaving is final for
 /// an incarnation, so that a delayed report cannot direct new requests to it.
+/// This holds across restarts of the node: no backend server counts as present
+/// until the departures known to earlier processes were restored from control.
 class BackendPresence {
  public:
   /// `address` is where the local backend server listens; reports with another
@@ -50,8 +59,19 @@
                          const BackendReport& report);
 
   /// Handles the notice of an incarnation that it is shutting down. Without
-  /// `born`, the current one is meant.
-  void OnWithdraw(const std::string& id, std::optional<Duration> born);
+  /// `born`, the current one is meant. Returns the departure, which may be
+  /// acknowledged once it is stored; nothing if no incarnation is named: `born`
+  /// is missing and `id` is not the current one, or it is in the future.
+  std::optional<Departure> OnWithdraw(Duration unix_now,
+                                      const std::string& id,
+                                      std::optional<Duration> born);
+
+  /// Takes over the departures that control has stored for this node.
+  void OnDeparturesStored(const std::vector<Departure>& stored) {
+    m_departures.OnStored(stored);
+  }
+
+  const DepartureTracker& departures() const { return m_departures; }
 
   /// Handles a refused connection to the backend server: nothing listens at its
   /// address.
@@ -68,7 +88,7 @@
   LocalBackend m_backend;
   Duration m_born;
   uint64_t m_sequence = 0;
-  bool m_leaving = false;
+  DepartureTracker m_departures;
   TimePoint m_last_heard;
   TimePoint m_cold_until;
   bool m_refused = false;
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "rosemarywinch/core/error.h"
 #include "rosemarywinch/core/sharded.h"
@@ -65,6 +66,17 @@
     std::mutex mutex;
     PressureBoard board;
   };
+  /// Departures whose commands are being committed. Thread-safe.
+  class Recording {
+   public:
+    /// Returns false if the command is being committed already.
+    bool Begin(const RecordDeparture& change);
+    void End(const RecordDeparture& change);
+
+   private:
+    std::mutex m_mutex;
+    std::vector<RecordDeparture> m_open;
+  };
   struct AllocatorShard {
     TimePoint since;
     std::map<std::string, AllowanceAllocator> allocators;
@@ -74,6 +86,10 @@
   void AddFleetState(const FleetState& state,
                      uint64_t version,
                      PollResponse& response) const;
+  void StoreDepartures(const FleetState& state, const PollRequest& request);
+  void AddDepartures(const FleetState& state,
+                     const PollRequest& request,
+                     PollResponse& response) const;
   void AddPressures(TimePoint now,
                     const PollRequest& request,
                     PollResponse& response);
@@ -98,6 +114,7 @@
   VersionState m_version_state;
   Directory m_directory;
   Pressures m_pressures;
+  Recording m_recording;
   Sharded<AllocatorShard> m_allocators;
   ConfigurationPublisher m_publisher;
   std::mutex m_mesh_mutex;
--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -31,7 +31,25 @@
 
   /// Applies a status report of the backend server.
   ReportOutcome OnReport(const ReportCall& call);
-  void OnWithdraw(const WithdrawCall& call);
+
+  /// Applies the notice that a backend server shuts down. Returns the departure
+  /// to be stored before the notice is acknowledged; nothing if the notice
+  /// names no incarnation.
+  std::optional<Departure> OnWithdraw(const WithdrawCall& call);
+
+  /// Waits until control has stored a departure, for `limit` at most. Returns
+  /// whether it has.
+  asio::awaitable<bool> WaitUntilStored(Departure departure, Duration limit);
+
+  /// Applies the departures that control has stored for this node.
+  void OnDeparturesStored(const std::vector<Departure>& stored);
+
+  /// Departures that control has to store.
+  std::vector<Departure> UnstoredDepartures() const;
+
+  /// Returns whether the departures that control has stored were received; no
+  /// backend server is used until then.
+  bool DeparturesRestored() const;
 
   /// Refuses all requests not yet sent to the backend server, queued ones
   /// included, and reports it as leaving, because this process is stopping.
@@ -70,6 +88,10 @@
 
  private:
   using Waiter = OneShot<Verdict>;
+  struct StoreWaiter {
+    Departure departure;
+    std::shared_ptr<OneShot<bool>> stored;
+  };
 
   asio::awaitable<std::optional<ErrorId>> WaitForAdmission(
       const HopRequest& request,
@@ -86,6 +108,7 @@
   void AddLoad(HopResponse& response) const;
   double QueuePressure() const;
   void ReportStateChange(const char* cause);
+  void ApplyPresenceChange(const std::optional<LocalBackend>& before);
 
   MeshProtocol& m_protocol;
   Clock& m_clock;
@@ -100,6 +123,7 @@
   AdmissionQueue m_queue;
   uint64_t m_next_ticket = 0;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
+  std::vector<StoreWaiter> m_store_waiters;
 };
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/programs/mesh/mesh_poller.h
+++ b/include/rosemarywinch/programs/mesh/mesh_poller.h
@@ -52,6 +52,7 @@
 
  private:
   asio::awaitable<void> PollLoop();
+  Duration PauseAfterPoll() const;
   asio::awaitable<bool> PollAnyReplica();
   asio::awaitable<bool> PollOnce(uint32_t replica, PollRequest request);
   Result<Done> ApplyReply(uint32_t replica,
--- a/src/decisions/fleet/fleet_store.cc
+++ b/src/decisions/fleet/fleet_store.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "rosemarywinch/decisions/fleet/departures.h"
 #include "rosemarywinch/decisions/fleet/policy.h"
 #include "rosemarywinch/decisions/fleet/tree_path.h"
 
@@ -155,6 +156,11 @@
   return Done{};
 }
 
+Result<Done> Apply(FleetState& state, const RecordDeparture& change) {
+  StoreDeparture(state, change);
+  return Done{};
+}
+
 Result<Done> Apply(FleetState&, std::monostate) {
   return Fail(ErrorId::kMalformedMessage, "command without a change");
 }
@@ -200,6 +206,10 @@
                           std::to_string(change.base_version) + ", " +
                           change.fingerprint;
                  },
+                 [](const RecordDeparture& change) {
+                   return "record that " + change.departure.backend_id +
+                          " leaves " + change.node;
+                 },
                  [](std::monostate) { return std::string("nothing"); }},
       command.change);
 }
@@ -227,12 +237,17 @@
   return result;
 }
 
-}  // namespace
+// A departure concerns one node only, so that it changes no version; storing it
+// twice does no harm.
+CommandResult ApplyDeparture(FleetState& state, const RecordDeparture& change) {
+  StoreDeparture(state, change);
+  CommandResult result;
+  result.version = state.version;
+  return result;
+}
 
-CommandResult ApplyCommand(FleetState& state, const FleetCommand& command) {
-  if (std::holds_alternative<PutConfiguration>(command.change)) {
-    return ApplyConfiguration(state, command);
-  }
+// Applies a command that is identified by its operation id.
+CommandResult ApplyOperation(FleetState& state, const FleetCommand& command) {
   const std::string fingerprint = Describe(command);
   const auto seen = std::find_if(
       state.operations.begin(), state.operations.end(),
@@ -260,6 +275,20 @@
   return result;
 }
 
+}  // namespace
+
+CommandResult ApplyCommand(FleetState& state, const FleetCommand& command) {
+  return std::visit(
+      Overloaded{[&](const PutConfiguration&) {
+                   return ApplyConfiguration(state, command);
+                 },
+                 [&](const RecordDeparture& change) {
+                   return ApplyDeparture(state, change);
+                 },
+                 [&](const auto&) { return ApplyOperation(state, command); }},
+      command.change);
+}
+
 void ApplyAccepted(FleetState& state, const HistoryRecord& record) {
   // Nodes receive the configuration itself separately from the commands.
   if (std::holds_alternative<PutConfiguration>(record.command.change)) {
--- a/src/decisions/mesh/backend_presence.cc
+++ b/src/decisions/mesh/backend_presence.cc
@@ -10,8 +10,20 @@
 // backend server that starts in the future.
 constexpr Duration kMaxClockDifference{3'600'000};
 
+bool IsInFuture(Duration unix_now, Duration born) {
+  return born > unix_now + kMaxClockDifference;
+}
+
 }  // namespace
 
+std::optional<Departure> DepartureIn(const std::string& id,
+                                     const BackendReport& report) {
+  if (report.state != NameOf(BackendState::kLeaving)) {
+    return std::nullopt;
+  }
+  return Departure{id, report.born.value_or(Duration{0})};
+}
+
 bool BackendPresence::IsValidReport(Duration unix_now,
                                     const BackendReport& report) const {
   const bool complete = report.service && report.address && report.state &&
@@ -20,9 +32,8 @@
   const bool known_state =
       complete && (*report.state == "ready" ||
                    *report.state == NameOf(BackendState::kLeaving));
-  const bool born_later =
-      report.born && *report.born > unix_now + kMaxClockDifference;
-  return known_state && !born_later && *report.address == m_address;
+  const bool in_future = report.born && IsInFuture(unix_now, *report.born);
+  return known_state && !in_future && *report.address == m_address;
 }
 
 ReportOutcome BackendPresence::OnReport(TimePoint now,
@@ -32,6 +43,10 @@
   if (id.empty() || !IsValidReport(unix_now, report)) {
     return ReportOutcome::kInvalid;
   }
+  // A late report of leaving still holds.
+  if (const auto departure = DepartureIn(id, report)) {
+    m_departures.Note(*departure);
+  }
   const Duration born = report.born.value_or(Duration{0});
   const bool same_incarnation = id == m_backend.id && born == m_born;
   const bool earlier_incarnation = !same_incarnation && born < m_born;
@@ -39,8 +54,6 @@
       (same_incarnation && *report.sequence <= m_sequence)) {
     return ReportOutcome::kStale;
   }
-  const bool leaving = *report.state == NameOf(BackendState::kLeaving);
-  m_leaving = leaving || (same_incarnation && m_leaving);
   m_backend = {id, *report.service, BackendState::kReady, *report.slots};
   m_born = born;
   m_sequence = *report.sequence;
@@ -50,11 +63,18 @@
   return ReportOutcome::kAccepted;
 }
 
-void BackendPresence::OnWithdraw(const std::string& id,
-                                 std::optional<Duration> born) {
-  if (id == m_backend.id && born.value_or(m_born) == m_born) {
-    m_leaving = true;
+std::optional<Departure> BackendPresence::OnWithdraw(
+    Duration unix_now,
+    const std::string& id,
+    std::optional<Duration> born) {
+  const bool current = !id.empty() && id == m_backend.id;
+  if (id.empty() || (!born && !current) ||
+      IsInFuture(unix_now, born.value_or(m_born))) {
+    return std::nullopt;
   }
+  const Departure departure{id, born.value_or(m_born)};
+  m_departures.Note(departure);
+  return departure;
 }
 
 void BackendPresence::OnConnectionRefused(TimePoint now) {
@@ -62,13 +82,13 @@
 }
 
 std::optional<LocalBackend> BackendPresence::Current(TimePoint now) const {
-  const bool present =
-      !m_backend.id.empty() && now < m_last_heard + m_timeout && !m_refused;
+  const bool present = m_departures.restored() && !m_backend.id.empty() &&
+                       now < m_last_heard + m_timeout && !m_refused;
   if (!present) {
     return std::nullopt;
   }
   LocalBackend current = m_backend;
-  if (m_leaving) {
+  if (m_departures.HasLeft({m_backend.id, m_born})) {
     current.state = BackendState::kLeaving;
   } else if (now < m_cold_until) {
     current.state = BackendState::kStarting;
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -6,6 +6,7 @@
 
 #include "rosemarywinch/adapters/mesh_codec.h"
 #include "rosemarywinch/decisions/control/lease.h"
+#include "rosemarywinch/decisions/fleet/departures.h"
 #include "rosemarywinch/decisions/fleet/fleet_store.h"
 #include "rosemarywinch/decisions/fleet/policy.h"
 
@@ -54,6 +55,8 @@
   }
   AddFleetState(*view.state, request.config_version, response);
   BOOST_LEAF_CHECK(AddMeshConfiguration(view, request, response));
+  StoreDepartures(*view.state, request);
+  AddDepartures(*view.state, request, response);
   AddMembers(view.now, request, response);
   AddPressures(view.now, request, response);
   AddAllowances(view, request, response);
@@ -146,6 +149,51 @@
   response.state = std::move(copy);
 }
 
+// The poll that follows finds the departures stored.
+void ControlService::StoreDepartures(const FleetState& state,
+                                     const PollRequest& request) {
+  for (const Departure& departure : request.departures) {
+    RecordDeparture change{request.node, departure};
+    const bool stored =
+        HasLeft(StoredDepartures(state, request.node), departure);
+    if (stored || !m_recording.Begin(change)) {
+      continue;
+    }
+    FleetCommand command;
+    command.author = request.node;
+    command.change = change;
+    m_driver->SubmitAsync(std::move(command),
+                          [this, change](const Outcome<CommandResult>&) {
+                            m_recording.End(change);
+                          });
+  }
+}
+
+void ControlService::AddDepartures(const FleetState& state,
+                                   const PollRequest& request,
+                                   PollResponse& response) const {
+  response.departures_known =
+      request.wants_departures || !request.departures.empty();
+  if (response.departures_known) {
+    response.departures = StoredDepartures(state, request.node);
+  }
+}
+
+bool ControlService::Recording::Begin(const RecordDeparture& change) {
+  std::scoped_lock lock(m_mutex);
+  const bool open =
+      std::find(m_open.begin(), m_open.end(), change) != m_open.end();
+  if (!open) {
+    m_open.push_back(change);
+  }
+  return !open;
+}
+
+void ControlService::Recording::End(const RecordDeparture& change) {
+  std::scoped_lock lock(m_mutex);
+  std::erase(m_open, change);
+}
+
 void ControlService::AddMembers(TimePoint now,
                                 const PollRequest& request,
                                 PollResponse& response) {
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -61,24 +61,79 @@
     const auto before = m_presence.Current(now);
     outcome = m_presence.OnReport(now, m_clock.UnixTime(), call.backend_id,
                                   call.report);
-    const auto after = m_presence.Current(now);
-    if (after) {
-      NotifyWaiters(m_queue.SetLimit(now, LimitWithHeadroom(after->slots)));
-    }
-    if (before && after && before->id != after->id) {
-      m_channel.CloseIdle();
-    }
+    ApplyPresenceChange(before);
   }
   ReportStateChange("report");
   return outcome;
 }
 
-void BackendProxy::OnWithdraw(const WithdrawCall& call) {
+// Requires m_mutex to be held.
+void BackendProxy::ApplyPresenceChange(
+    const std::optional<LocalBackend>& before) {
+  const TimePoint now = m_clock.Now();
+  const auto after = m_presence.Current(now);
+  if (after) {
+    NotifyWaiters(m_queue.SetLimit(now, LimitWithHeadroom(after->slots)));
+  }
+  if (before && after && before->id != after->id) {
+    m_channel.CloseIdle();
+  }
+}
+
+std::optional<Departure> BackendProxy::OnWithdraw(const WithdrawCall& call) {
+  std::optional<Departure> departure;
   {
     std::scoped_lock lock(m_mutex);
-    m_presence.OnWithdraw(call.backend_id, call.born);
+    departure =
+        m_presence.OnWithdraw(m_clock.UnixTime(), call.backend_id, call.born);
   }
   ReportStateChange("withdrawn");
+  return departure;
+}
+
+asio::awaitable<bool> BackendProxy::WaitUntilStored(Departure departure,
+                                                    Duration limit) {
+  const auto waiter =
+      std::make_shared<OneShot<bool>>(co_await asio::this_coro::executor);
+  {
+    std::scoped_lock lock(m_mutex);
+    if (m_presence.departures().IsStored(departure)) {
+      co_return true;
+    }
+    m_store_waiters.push_back({departure, waiter});
+  }
+  m_on_change();
+  const std::optional<bool> stored = co_await waiter->Wait(limit);
+  std::scoped_lock lock(m_mutex);
+  std::erase_if(m_store_waiters, [&](const StoreWaiter& other) {
+    return other.stored == waiter;
+  });
+  co_return stored.value_or(false);
+}
+
+void BackendProxy::OnDeparturesStored(const std::vector<Departure>& stored) {
+  {
+    std::scoped_lock lock(m_mutex);
+    const auto before = m_presence.Current(m_clock.Now());
+    m_presence.OnDeparturesStored(stored);
+    ApplyPresenceChange(before);
+    for (const StoreWaiter& waiter : m_store_waiters) {
+      if (m_presence.departures().IsStored(waiter.departure)) {
+        waiter.stored->Set(true);
+      }
+    }
+  }
+  ReportStateChange("departures");
+}
+
+std::vector<Departure> BackendProxy::UnstoredDepartures() const {
+  std::scoped_lock lock(m_mutex);
+  return m_presence.departures().unstored();
+}
+
+bool BackendProxy::DeparturesRestored() const {
+  std::scoped_lock lock(m_mutex);
+  return m_presence.departures().restored();
 }
 
 void BackendProxy::BeginStop() {
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -39,6 +39,8 @@
 // process would be killed.
 constexpr Duration kStopMargin{250};
 constexpr Duration kStopCheckInterval{50};
+// A backend server gives up a call after 1 s.
+constexpr Duration kStoreTimeout{850};
 
 /// A node of the mesh; owns its components.
 class MeshNode {
@@ -156,33 +158,57 @@
   }
 
   asio::awaitable<HttpResponse> HandleLocal(HttpRequest request) {
-    const LocalCall call = m_protocol.ReadLocalCall(request);
-    co_return std::visit(
-        Overloaded{
-            [this](const ReportCall& report) { return HandleReport(report); },
-            [this](const WithdrawCall& withdraw) {
-              m_backend_proxy.OnWithdraw(withdraw);
-              return HttpResponse{};
-            },
-            [this](const UnknownCall& unknown) {
-              LogEvent(LogLevel::kInfo, "local_call_refused",
-                       {{"error", unknown.error.Message()}});
-              Refusal refusal;
-              refusal.error = unknown.error;
-              return m_protocol.WriteRefusal(refusal);
-            }},
-        call);
-  }
-
-  HttpResponse HandleReport(const ReportCall& report) {
-    HttpResponse response;
-    response.headers.Add("Content-Type", "application/json");
-    response.body = "{}";
+    return std::visit([this](auto call) { return Handle(std::move(call)); },
+                      m_protocol.ReadLocalCall(request));
+  }
+
+  asio::awaitable<HttpResponse> Handle(ReportCall report) {
     if (m_backend_proxy.OnReport(report) == ReportOutcome::kInvalid) {
       LogEvent(LogLevel::kInfo, "report_invalid",
                {{"backend", report.backend_id}});
-      response.status = kBadRequest;
+      HttpResponse invalid = Acknowledgement();
+      invalid.status = kBadRequest;
+      co_return invalid;
     }
+    const auto departure = DepartureIn(report.backend_id, report.report);
+    if (!departure) {
+      co_return Acknowledgement();
+    }
+    co_return co_await AcknowledgeDeparture(*departure);
+  }
+
+  asio::awaitable<HttpResponse> Handle(WithdrawCall withdraw) {
+    const auto departure = m_backend_proxy.OnWithdraw(withdraw);
+    if (!departure) {
+      co_return m_protocol.WriteRefusal(
+          {"", {ErrorId::kBadValue, "born of " + withdraw.backend_id}, {}, {}});
+    }
+    co_return co_await AcknowledgeDeparture(*departure);
+  }
+
+  asio::awaitable<HttpResponse> Handle(UnknownCall unknown) {
+    LogEvent(LogLevel::kInfo, "local_call_refused",
+             {{"error", unknown.error.Message()}});
+    co_return m_protocol.WriteRefusal({"", std::move(unknown.error), {}, {}});
+  }
+
+  // An acknowledged departure binds later processes of this node too, so that
+  // control must have stored it.
+  asio::awaitable<HttpResponse> AcknowledgeDeparture(Departure departure) {
+    const std::string id = departure.backend_id;
+    if (co_await m_backend_proxy.WaitUntilStored(std::move(departure),
+                                                 kStoreTimeout)) {
+      co_return Acknowledgement();
+    }
+    LogEvent(LogLevel::kInfo, "departure_not_stored", {{"backend", id}});
+    co_return m_protocol.WriteRefusal(
+        {"", {ErrorId::kCutOff, "departure not stored"}, kUnavailable, {}});
+  }
+
+  static HttpResponse Acknowledgement() {
+    HttpResponse response;
+    response.headers.Add("Content-Type", "application/json");
+    response.body = "{}";
     return response;
   }
 
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -20,6 +20,9 @@
 constexpr Duration kMinPollPause{40};
 // Added to kMinPollPause after a round in which every poll failed.
 constexpr Duration kUnreachableBackoff{150};
+// Pause after a poll that handed a departure to control, which stores it in a
+// few milliseconds.
+constexpr Duration kStorePause{100};
 
 std::chrono::milliseconds ToChrono(Duration length) {
   return std::chrono::milliseconds(length.ms);
@@ -103,7 +106,7 @@
     m_tokens_requested = false;
     if (poll_due || leader == 0) {
       const bool answered = co_await PollAnyReplica();
-      next_poll = now + (answered ? m_options.interval
+      next_poll = now + (answered ? PauseAfterPoll()
                                   : kMinPollPause + kUnreachableBackoff);
     } else {
       const PollRequest tokens = MakeTokenRequest();
@@ -123,6 +126,13 @@
   }
 }
 
+// A departure is acknowledged once it is stored, so that the next poll, which
+// learns of it, is not delayed.
+Duration MeshPoller::PauseAfterPoll() const {
+  return m_backend_proxy.UnstoredDepartures().empty() ? m_options.interval
+                                                      : kStorePause;
+}
+
 asio::awaitable<bool> MeshPoller::PollAnyReplica() {
   for (const uint32_t replica : CandidateReplicas()) {
     if (co_await PollOnce(replica, MakeRequest())) {
@@ -175,7 +185,11 @@
   m_leader = replica;
   m_replicas = {reply.response->replicas.begin(),
                 reply.response->replicas.end()};
-  return m_view.ApplyPoll(sent, *reply.response);
+  BOOST_LEAF_CHECK(m_view.ApplyPoll(sent, *reply.response));
+  if (reply.response->departures_known) {
+    m_backend_proxy.OnDeparturesStored(reply.response->departures);
+  }
+  return Done{};
 }
 
 PollRequest MeshPoller::MakeTokenRequest() {
@@ -202,6 +216,8 @@
     request.member.slots = backend->slots;
     request.pressure = m_backend_proxy.Pressure();
   }
+  request.departures = m_backend_proxy.UnstoredDepartures();
+  request.wants_departures = !m_backend_proxy.DeparturesRestored();
   m_view.FillPoll(request);
   return request;
 }
