Give a planned stop one deadline, and answer all requests before it

Cause: the stop only waited. Nothing asked the other node for its answer, nothing answered in the end, and requests were accepted until the end. On the same path: waiting requests of other nodes were refused one slot at a time; calls of the local backend server found no listener after 2.4 s; the process crashed when it ended with its own backend server at work.

Ruled out: a shorter deadline when a request is sent on (SIGTERM may come later); cancelling at the end (what has not run could not be refused as such).

Change: StopSchedule (decisions/mesh) divides the grace period; a new frame, withdraw, makes other nodes answer what they have not started; what is still at work at the end is answered 502, in the order of its connection. Why it works: after the withdrawal each open request is either refused or at a backend server, and the last phase answers the latter before the process ends.

--- a/gen/rosemarywinch/schema/link.h
+++ b/gen/rosemarywinch/schema/link.h
@@ -25,9 +25,10 @@
   kPollRequest = 5,
   kPollReply = 6,
   kPeerMessage = 7,
+  kWithdraw = 8,
 };
 
-inline constexpr std::array<EnumEntry<FrameType>, 8> kFrameTypeTable{{
+inline constexpr std::array<EnumEntry<FrameType>, 9> kFrameTypeTable{{
     {FrameType::kPing, "ping", "liveness probe", "", 0},
     {FrameType::kPong, "pong", "reply to a ping", "", 0},
     {FrameType::kHopRequest, "hop_request", "a HopRequest", "", 0},
@@ -36,6 +37,9 @@
     {FrameType::kPollRequest, "poll_request", "a PollRequest", "", 0},
     {FrameType::kPollReply, "poll_reply", "a PollReply", "", 0},
     {FrameType::kPeerMessage, "peer_message", "a PeerMessage", "", 0},
+    {FrameType::kWithdraw, "withdraw",
+     "the request is not to be started any more; it is answered all the same",
+     "", 0},
 }};
 
 constexpr const auto& EnumTable(FrameType /*tag*/) {
--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -31,6 +31,32 @@
   return kRouteKindTable;
 }
 
+enum class StopPhase {
+  kRunning = 0,
+  kNotReady = 1,
+  kClosed = 2,
+  kFinishing = 3,
+  kAnswering = 4,
+  kOver = 5,
+};
+
+inline constexpr std::array<EnumEntry<StopPhase>, 6> kStopPhaseTable{{
+    {StopPhase::kRunning, "running", "accepts requests", "", 0},
+    {StopPhase::kNotReady, "not_ready",
+     "accepts requests, but says that it is not ready", "", 0},
+    {StopPhase::kClosed, "closed",
+     "accepts only calls of the local backend server", "", 0},
+    {StopPhase::kFinishing, "finishing",
+     "waits for requests that backend servers run, refuses all others", "", 0},
+    {StopPhase::kAnswering, "answering",
+     "answers what no backend server has answered", "", 0},
+    {StopPhase::kOver, "over", "ends", "", 0},
+}};
+
+constexpr const auto& EnumTable(StopPhase /*tag*/) {
+  return kStopPhaseTable;
+}
+
 enum class HopOutcome {
   kAnswered = 0,
   kNotRun = 1,
--- a/include/rosemarywinch/adapters/async/async_http_connection.h
+++ b/include/rosemarywinch/adapters/async/async_http_connection.h
@@ -32,6 +32,9 @@
   /// response, because the server is closing by then.
   void CloseWhenIdle();
 
+  /// Cancels the requests that have no response yet.
+  void CancelOpenRequests();
+
  private:
   struct Exchange {
     std::shared_ptr<CancellationToken> cancellation =
@@ -63,6 +66,7 @@
   Strand m_strand;
   Tcp::socket m_socket;
   const AsyncServerLimits m_limits;
+  const bool m_from_this_host;
   /// Target of a read; the bytes are then appended to `m_buffer`.
   std::array<char, kReadBytes> m_chunk;
   boost::beast::flat_buffer m_buffer;
--- a/include/rosemarywinch/adapters/async/async_http_server.h
+++ b/include/rosemarywinch/adapters/async/async_http_server.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "rosemarywinch/adapters/async/cancellation_token.h"
 #include "rosemarywinch/adapters/async/net.h"
@@ -54,6 +55,14 @@
   void BeginClosing();
   bool closing() const { return m_closing; }
 
+  /// Closes existing connections as they become idle, and from now on accepts
+  /// only those of processes on this host.
+  void CloseToOtherHosts();
+
+  /// Cancels the requests that have no response yet, so that their handlers end
+  /// them with one.
+  void CancelOpenRequests();
+
   /// Stops accepting connections and closes existing ones as they become idle.
   void Stop();
 
@@ -65,6 +74,8 @@
 
   void AddConnection(Tcp::socket socket);
   void RemoveConnection(const AsyncHttpConnection* connection);
+  std::vector<std::shared_ptr<AsyncHttpConnection>> OpenConnections() const;
+  void CloseIdleConnections();
 
   asio::io_context& m_context;
   /// Serializes access to the listening socket.
@@ -72,6 +83,7 @@
   const AsyncHandler m_handler;
   std::unique_ptr<Tcp::acceptor> m_acceptor;
   std::atomic<bool> m_closing{false};
+  std::atomic<bool> m_closed_to_other_hosts{false};
   std::atomic<size_t> m_open_requests{0};
   mutable std::mutex m_mutex;
   AsyncServerLimits m_limits;
--- a/include/rosemarywinch/adapters/async/backend_channel.h
+++ b/include/rosemarywinch/adapters/async/backend_channel.h
@@ -57,6 +57,12 @@
     /// The connection may serve further requests.
     bool keep_alive = false;
   };
+  /// Outlives the channel while a response is being read.
+  struct SharedBudget {
+    explicit SharedBudget(uint64_t max_bytes) : budget(max_bytes) {}
+    std::mutex mutex;
+    ResponseBudget budget;
+  };
   class Attempt;
   class BudgetShare;
 
@@ -73,7 +79,7 @@
   const std::string m_address;
   std::mutex m_mutex;
   std::vector<std::unique_ptr<Connection>> m_idle;
-  ResponseBudget m_budget;
+  const std::shared_ptr<SharedBudget> m_budget;
 };
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/adapters/async/link_client.h
+++ b/include/rosemarywinch/adapters/async/link_client.h
@@ -48,6 +48,10 @@
       Duration limit,
       std::shared_ptr<CancellationToken> cancellation);
 
+  /// Withdraws all open hop requests: those that their node has not sent to its
+  /// backend server are answered as not run. Later ones are not sent.
+  void WithdrawHopRequests();
+
   /// Sends a frame without waiting for a reply; it may be lost.
   void Post(const std::string& address, FrameType type, std::string payload);
 
@@ -55,7 +59,8 @@
   using Reply = OneShot<ExchangeResult>;
   struct OpenExchange {
     std::shared_ptr<Reply> reply;
-    const FrameLink* link = nullptr;
+    std::shared_ptr<FrameLink> link;
+    FrameType type = FrameType::kPing;
   };
   struct LinkShard {
     std::map<std::string, std::shared_ptr<FrameLink>> links;
@@ -71,6 +76,7 @@
 
   asio::io_context& m_context;
   std::atomic<uint64_t> m_next_exchange{1};
+  std::atomic<bool> m_withdrawn{false};
   Sharded<LinkShard> m_links;
   Sharded<ExchangeShard> m_exchanges;
 };
--- a/include/rosemarywinch/adapters/async/net.h
+++ b/include/rosemarywinch/adapters/async/net.h
@@ -50,6 +50,10 @@
 Result<Tcp::acceptor> Listen(const asio::any_io_executor& executor,
                              const std::string& address);
 
+/// Returns whether the peer of an open connection has the address of this end,
+/// hence is a process on this host.
+bool IsFromThisHost(const Tcp::socket& socket);
+
 /// Accepts connections until `acceptor` is closed and passes each to
 /// `on_connection` as a socket of `executor`. Runs on the executor of
 /// `acceptor`, which must outlive it.
--- a/include/rosemarywinch/decisions/traffic/admission_queue.h
+++ b/include/rosemarywinch/decisions/traffic/admission_queue.h
@@ -69,6 +69,9 @@
   /// Does nothing when the call isn't waiting.
   void Cancel(uint64_t ticket);
 
+  /// Refuses all waiting calls. Returns their verdicts.
+  std::vector<Admission> RefuseWaiting(ErrorId reason);
+
   /// Replaces the concurrency limit. Returns the verdicts of waiting calls that
   /// are now started or refused.
   std::vector<Admission> SetLimit(TimePoint now, ConcurrencyLimit limit);
--- a/include/rosemarywinch/interfaces/http.h
+++ b/include/rosemarywinch/interfaces/http.h
@@ -50,6 +50,8 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
+  /// The sender is a process on this host.
+  bool from_this_host = false;
 };
 
 struct HttpResponse {
--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -18,6 +18,16 @@
 
 namespace rosemarywinch {
 
+/// Tells a call that its result is no longer wanted.
+struct CallSignals {
+  /// Nobody waits for the response.
+  std::shared_ptr<CancellationToken> cancelled =
+      std::make_shared<CancellationToken>();
+  /// The call must not be started any more. If it was, its response is wanted.
+  std::shared_ptr<CancellationToken> withdrawn =
+      std::make_shared<CancellationToken>();
+};
+
 /// Forwards requests to the local backend server, which is reached in no other
 /// way. Forwards none once the backend server is leaving, and never more at a
 /// time than LimitWithHeadroom() allows for its slots. Thread-safe.
@@ -59,9 +69,7 @@
   std::optional<LocalBackend> Current() const;
 
   /// Queues a request and sends it to the backend server once admitted.
-  asio::awaitable<HopResponse> Run(
-      HopRequest request,
-      std::shared_ptr<CancellationToken> cancellation);
+  asio::awaitable<HopResponse> Run(HopRequest request, CallSignals signals);
 
   size_t open_requests() const;
 
@@ -96,13 +104,13 @@
   asio::awaitable<std::optional<ErrorId>> WaitForAdmission(
       const HopRequest& request,
       TimePoint deadline,
-      std::shared_ptr<CancellationToken> cancellation);
-  asio::awaitable<HopResponse> SendToBackend(
-      const HopRequest& request,
-      TimePoint deadline,
-      std::shared_ptr<CancellationToken> cancellation);
+      const CallSignals& signals);
+  asio::awaitable<HopResponse> SendToBackend(const HopRequest& request,
+                                             TimePoint deadline,
+                                             const CallSignals& signals);
   HopResponse ReadResult(const HopRequest& request, BackendResult result);
   std::optional<LocalBackend> FindServing(const std::string& service) const;
+  void RefuseWaiting(ErrorId reason);
   void FinishRequest(const CallSample& sample);
   void NotifyWaiters(const std::vector<Admission>& admissions);
   void AddLoad(HopResponse& response) const;
--- a/include/rosemarywinch/programs/mesh/outbound_proxy.h
+++ b/include/rosemarywinch/programs/mesh/outbound_proxy.h
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYWINCH_PROGRAMS_MESH_OUTBOUND_PROXY_H_
 #define ROSEMARYWINCH_PROGRAMS_MESH_OUTBOUND_PROXY_H_
 
+#include <atomic>
 #include <memory>
 #include <set>
 #include <string>
@@ -8,6 +9,7 @@
 
 #include "rosemarywinch/adapters/async/cancellation_token.h"
 #include "rosemarywinch/adapters/metrics.h"
+#include "rosemarywinch/decisions/mesh/stop_schedule.h"
 #include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/interfaces/hop_channel.h"
 #include "rosemarywinch/interfaces/mesh_protocol.h"
@@ -31,6 +33,9 @@
       HttpRequest request,
       std::shared_ptr<CancellationToken> cancellation);
 
+  /// Enters a phase of a planned stop.
+  void EnterPhase(StopPhase phase) { m_stop_phase = phase; }
+
  private:
   /// A request and the state of its attempts.
   struct RequestState {
@@ -75,6 +80,7 @@
   MeshProtocol& m_protocol;
   Clock& m_clock;
   Metrics& m_metrics;
+  std::atomic<StopPhase> m_stop_phase{StopPhase::kRunning};
 };
 
 }  // namespace rosemarywinch
--- a/src/adapters/async/async_http_connection.cc
+++ b/src/adapters/async/async_http_connection.cc
@@ -54,6 +54,7 @@
       m_strand(asio::make_strand(m_server->m_context.get_executor())),
       m_socket(std::move(socket)),
       m_limits(m_server->limits()),
+      m_from_this_host(IsFromThisHost(m_socket)),
       m_changed(m_strand, SteadyClock::time_point::max()),
       m_last_activity(SteadyClock::now()) {
   SetConnectionOptions(m_socket, kDeadPeerTimeout);
@@ -82,6 +83,16 @@
   });
 }
 
+void AsyncHttpConnection::CancelOpenRequests() {
+  asio::post(m_strand, [self = shared_from_this()] {
+    for (const auto& exchange : self->m_exchanges) {
+      if (!exchange->response) {
+        exchange->cancellation->Cancel();
+      }
+    }
+  });
+}
+
 void AsyncHttpConnection::ResetParser() {
   m_parser.emplace();
   m_parser->eager(true);
@@ -180,10 +191,12 @@
   m_last_request = !message.keep_alive();
   m_exchanges.push_back(exchange);
   ++m_server->m_open_requests;
+  HttpRequest request = FromBeast(std::move(message));
+  request.from_this_host = m_from_this_host;
   asio::co_spawn(
       m_strand,
       [self = shared_from_this(), exchange,
-       request = FromBeast(std::move(message))]() mutable {
+       request = std::move(request)]() mutable {
         return self->RunHandler(exchange, std::move(request));
       },
       asio::detached);
--- a/src/adapters/async/async_http_server.cc
+++ b/src/adapters/async/async_http_server.cc
@@ -41,32 +41,55 @@
   m_closing = true;
 }
 
-void AsyncHttpServer::Stop() {
+void AsyncHttpServer::CloseToOtherHosts() {
   m_closing = true;
-  std::vector<std::shared_ptr<AsyncHttpConnection>> open;
-  {
-    std::scoped_lock lock(m_mutex);
-    for (const auto& [key, connection] : m_connections) {
-      if (auto live = connection.lock()) {
-        open.push_back(std::move(live));
-      }
-    }
+  m_closed_to_other_hosts = true;
+  CloseIdleConnections();
+}
+
+void AsyncHttpServer::CancelOpenRequests() {
+  for (const auto& connection : OpenConnections()) {
+    connection->CancelOpenRequests();
   }
+}
+
+void AsyncHttpServer::Stop() {
+  m_closing = true;
   asio::post(m_strand, [self = shared_from_this()] {
     error_code ignored;
     self->m_acceptor->close(ignored);
   });
-  for (const auto& connection : open) {
+  CloseIdleConnections();
+}
+
+void AsyncHttpServer::CloseIdleConnections() {
+  for (const auto& connection : OpenConnections()) {
     connection->CloseWhenIdle();
   }
 }
 
+std::vector<std::shared_ptr<AsyncHttpConnection>>
+AsyncHttpServer::OpenConnections() const {
+  std::vector<std::shared_ptr<AsyncHttpConnection>> open;
+  std::scoped_lock lock(m_mutex);
+  for (const auto& [key, connection] : m_connections) {
+    if (auto live = connection.lock()) {
+      open.push_back(std::move(live));
+    }
+  }
+  return open;
+}
+
 void AsyncHttpServer::RemoveConnection(const AsyncHttpConnection* connection) {
   std::scoped_lock lock(m_mutex);
   m_connections.erase(connection);
 }
 
+// A connection from another host is closed unread: its caller goes elsewhere.
 void AsyncHttpServer::AddConnection(Tcp::socket socket) {
+  if (m_closed_to_other_hosts && !IsFromThisHost(socket)) {
+    return;
+  }
   auto connection = std::make_shared<AsyncHttpConnection>(shared_from_this(),
                                                           std::move(socket));
   {
--- a/src/adapters/async/backend_channel.cc
+++ b/src/adapters/async/backend_channel.cc
@@ -128,29 +128,31 @@
 /// The part of the budget that one response holds.
 class BackendChannel::BudgetShare {
  public:
-  explicit BudgetShare(BackendChannel& channel) : m_channel(channel) {
-    std::scoped_lock lock(m_channel.m_mutex);
-    m_id = m_channel.m_budget.Begin();
+  explicit BudgetShare(std::shared_ptr<SharedBudget> shared)
+      : m_shared(std::move(shared)) {
+    std::scoped_lock lock(m_shared->mutex);
+    m_id = m_shared->budget.Begin();
   }
   ~BudgetShare() {
-    std::scoped_lock lock(m_channel.m_mutex);
-    m_channel.m_budget.End(m_id);
+    std::scoped_lock lock(m_shared->mutex);
+    m_shared->budget.End(m_id);
   }
   BudgetShare(const BudgetShare&) = delete;
   BudgetShare& operator=(const BudgetShare&) = delete;
 
   bool Grow(uint64_t bytes) {
-    std::scoped_lock lock(m_channel.m_mutex);
-    return m_channel.m_budget.Grow(m_id, bytes);
+    std::scoped_lock lock(m_shared->mutex);
+    return m_shared->budget.Grow(m_id, bytes);
   }
 
  private:
-  BackendChannel& m_channel;
+  const std::shared_ptr<SharedBudget> m_shared;
   uint64_t m_id = 0;
 };
 
 BackendChannel::BackendChannel(std::string address)
-    : m_address(std::move(address)), m_budget(kMaxUnfinishedBytes) {}
+    : m_address(std::move(address)),
+      m_budget(std::make_shared<SharedBudget>(kMaxUnfinishedBytes)) {}
 
 asio::awaitable<BackendResult> BackendChannel::Send(
     HttpRequest request,
@@ -212,7 +214,7 @@
   parser.body_limit(kMaxResponseBytes);
   parser.header_limit(kMaxHeaderBytes);
   parser.skip(without_body);
-  BudgetShare share(*this);
+  BudgetShare share(m_budget);
   while (!parser.is_done()) {
     error_code error;
     co_await http::async_read_some(
--- a/src/adapters/async/link_client.cc
+++ b/src/adapters/async/link_client.cc
@@ -33,7 +33,7 @@
       std::make_shared<Reply>(co_await asio::this_coro::executor);
   const std::shared_ptr<FrameLink> link = GetOrConnect(address);
   m_exchanges.With(ShardKey(exchange), [&](ExchangeShard& shard) {
-    shard.open[exchange] = {reply, link.get()};
+    shard.open[exchange] = {reply, link, type};
   });
   const CancellationCallback watch(cancellation, [reply] {
     reply->Set({ExchangeStatus::kCallerGone, ""});
@@ -42,7 +42,13 @@
   if (link->closed()) {
     reply->Set({ExchangeStatus::kStaleLink, ""});
   }
-  link->Send({type, exchange, std::move(payload)});
+  // After a withdrawal no further hop request is sent; one that was registered
+  // before it was withdrawn itself, and is sent all the same.
+  if (type == FrameType::kHopRequest && m_withdrawn) {
+    reply->Set({ExchangeStatus::kNotSent, ""});
+  } else {
+    link->Send({type, exchange, std::move(payload)});
+  }
   std::optional<ExchangeResult> result = co_await reply->Wait(limit);
   m_exchanges.With(ShardKey(exchange),
                    [&](ExchangeShard& shard) { shard.open.erase(exchange); });
@@ -57,6 +63,17 @@
   co_return std::move(*result);
 }
 
+void LinkClient::WithdrawHopRequests() {
+  m_withdrawn = true;
+  m_exchanges.ForEach([&](ExchangeShard& shard) {
+    for (const auto& [number, open] : shard.open) {
+      if (open.type == FrameType::kHopRequest) {
+        open.link->Send({FrameType::kWithdraw, number, ""});
+      }
+    }
+  });
+}
+
 void LinkClient::Post(const std::string& address,
                       FrameType type,
                       std::string payload) {
@@ -106,7 +123,7 @@
   std::vector<std::shared_ptr<Reply>> orphaned;
   m_exchanges.ForEach([&](ExchangeShard& shard) {
     for (const auto& [number, open] : shard.open) {
-      if (open.link == link.get()) {
+      if (open.link == link) {
         orphaned.push_back(open.reply);
       }
     }
--- a/src/adapters/async/net.cc
+++ b/src/adapters/async/net.cc
@@ -110,6 +110,13 @@
   return acceptor;
 }
 
+bool IsFromThisHost(const Tcp::socket& socket) {
+  error_code error;
+  const auto here = socket.local_endpoint(error);
+  const auto there = error ? here : socket.remote_endpoint(error);
+  return !error && here.address() == there.address();
+}
+
 asio::awaitable<void> AcceptConnections(
     Tcp::acceptor& acceptor,
     asio::any_io_executor executor,
--- a/src/decisions/traffic/admission_queue.cc
+++ b/src/decisions/traffic/admission_queue.cc
@@ -55,6 +55,14 @@
   }
 }
 
+std::vector<Admission> AdmissionQueue::RefuseWaiting(ErrorId reason) {
+  std::vector<Admission> refusals;
+  while (!m_positions.empty()) {
+    refusals.push_back({PopFirst().id, Verdict::kRefuse, reason});
+  }
+  return refusals;
+}
+
 std::vector<Admission> AdmissionQueue::SetLimit(TimePoint now,
                                                 ConcurrencyLimit limit) {
   m_limit = limit;
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -78,14 +78,19 @@
   if (before && after && before->id != after->id) {
     m_channel.CloseIdle();
   }
+  if (after && after->state == BackendState::kLeaving) {
+    RefuseWaiting(ErrorId::kNoBackend);
+  }
 }
 
 std::optional<Departure> BackendProxy::OnWithdraw(const WithdrawCall& call) {
   std::optional<Departure> departure;
   {
     std::scoped_lock lock(m_mutex);
+    const auto before = m_presence.Current(m_clock.Now());
     departure =
         m_presence.OnWithdraw(m_clock.UnixTime(), call.backend_id, call.born);
+    ApplyPresenceChange(before);
   }
   ReportStateChange("withdrawn");
   return departure;
@@ -139,6 +144,13 @@
 void BackendProxy::BeginStop() {
   std::scoped_lock lock(m_mutex);
   m_stopping = true;
+  RefuseWaiting(ErrorId::kDraining);
+}
+
+// Requires m_mutex to be held. Callers of a request that waits can still go to
+// another node.
+void BackendProxy::RefuseWaiting(ErrorId reason) {
+  NotifyWaiters(m_queue.RefuseWaiting(reason));
 }
 
 std::optional<LocalBackend> BackendProxy::Current() const {
@@ -174,22 +186,21 @@
   return serves ? current : std::nullopt;
 }
 
-asio::awaitable<HopResponse> BackendProxy::Run(
-    HopRequest request,
-    std::shared_ptr<CancellationToken> cancellation) {
+asio::awaitable<HopResponse> BackendProxy::Run(HopRequest request,
+                                               CallSignals signals) {
   const TimePoint deadline = m_clock.Now() + request.time_left;
   HopResponse response;
   if (!FindServing(request.service)) {
     response = NotRun(ErrorId::kNoBackend);
   } else if (const auto refused =
-                 co_await WaitForAdmission(request, deadline, cancellation)) {
+                 co_await WaitForAdmission(request, deadline, signals)) {
     response = NotRun(*refused);
     std::scoped_lock lock(m_mutex);
     response.retry_after = m_queue.ExpectedWait();
   } else {
     const TimePoint began = m_clock.Now();
     m_on_run();
-    response = co_await SendToBackend(request, deadline, cancellation);
+    response = co_await SendToBackend(request, deadline, signals);
     const Duration took = m_clock.Now() - began;
     FinishRequest({static_cast<double>(took.ms),
                    response.outcome != HopOutcome::kAnswered});
@@ -201,12 +212,15 @@
 asio::awaitable<std::optional<ErrorId>> BackendProxy::WaitForAdmission(
     const HopRequest& request,
     TimePoint deadline,
-    std::shared_ptr<CancellationToken> cancellation) {
+    const CallSignals& signals) {
   const auto waiter =
       std::make_shared<Waiter>(co_await asio::this_coro::executor);
   uint64_t id = 0;
   {
     std::scoped_lock lock(m_mutex);
+    if (m_stopping) {
+      co_return ErrorId::kDraining;
+    }
     id = ++m_next_ticket;
     Ticket ticket;
     ticket.id = id;
@@ -218,8 +232,9 @@
     m_waiters[id] = waiter;
     NotifyWaiters(m_queue.Offer(m_clock.Now(), std::move(ticket)));
   }
-  const CancellationCallback watch(cancellation,
-                                   [waiter] { waiter->Cancel(); });
+  const auto end_wait = [waiter] { waiter->Cancel(); };
+  const CancellationCallback watch_cancelled(signals.cancelled, end_wait);
+  const CancellationCallback watch_withdrawn(signals.withdrawn, end_wait);
   const auto verdict = co_await waiter->Wait(deadline - m_clock.Now());
   if (verdict == Verdict::kRun) {
     co_return std::nullopt;
@@ -234,16 +249,20 @@
       NotifyWaiters(m_queue.Finish(m_clock.Now(), {0, true}));
     }
   }
+  if (!verdict && signals.withdrawn->cancelled()) {
+    co_return ErrorId::kDraining;
+  }
   co_return verdict ? ErrorId::kOverloaded : ErrorId::kDeadlinePassed;
 }
 
 asio::awaitable<HopResponse> BackendProxy::SendToBackend(
     const HopRequest& request,
     TimePoint deadline,
-    std::shared_ptr<CancellationToken> cancellation) {
+    const CallSignals& signals) {
   const auto backend = FindServing(request.service);
   const Duration left = deadline - m_clock.Now();
-  if (!backend || cancellation->cancelled()) {
+  if (!backend || signals.cancelled->cancelled() ||
+      signals.withdrawn->cancelled()) {
     co_return NotRun(ErrorId::kNoBackend);
   }
   if (left < kMinWorkTime) {
@@ -255,7 +274,7 @@
         return IsAnswerToRequest(
             m_protocol.ReadBackendAnswer(request, response), reused);
       },
-      left + kResponseGrace, cancellation);
+      left + kResponseGrace, signals.cancelled);
   if (result.refused) {
     {
       std::scoped_lock lock(m_mutex);
--- a/src/programs/mesh/hop_client.cc
+++ b/src/programs/mesh/hop_client.cc
@@ -37,7 +37,7 @@
     std::shared_ptr<CancellationToken> cancellation) {
   if (member.node == m_node) {
     co_return co_await m_backend_proxy.Run(std::move(request),
-                                           std::move(cancellation));
+                                           {.cancelled = cancellation});
   }
   const TimePoint deadline = m_clock.Now() + request.time_left;
   ExchangeResult result = co_await Exchange(member, request, cancellation);
--- a/src/programs/mesh/hop_server.cc
+++ b/src/programs/mesh/hop_server.cc
@@ -34,58 +34,78 @@
     StartRequest(link, std::move(frame));
     return;
   }
+  const std::optional<CallSignals> signals =
+      FindOpen(link.get(), frame.exchange);
+  if (!signals) {
+    return;
+  }
   if (frame.type == FrameType::kCancel) {
-    std::shared_ptr<CancellationToken> cancellation;
-    m_exchanges.With(ShardKey(frame.exchange), [&](Shard& shard) {
-      const auto found = shard.open.find({link.get(), frame.exchange});
-      if (found != shard.open.end()) {
-        cancellation = found->second;
-      }
-    });
-    if (cancellation != nullptr) {
-      cancellation->Cancel();
-    }
+    signals->cancelled->Cancel();
+  } else if (frame.type == FrameType::kWithdraw) {
+    signals->withdrawn->Cancel();
   }
 }
 
+std::optional<CallSignals> HopServer::FindOpen(const FrameLink* link,
+                                               uint64_t exchange) {
+  std::optional<CallSignals> signals;
+  m_exchanges.With(ShardKey(exchange), [&](Shard& shard) {
+    const auto found = shard.open.find({link, exchange});
+    if (found != shard.open.end()) {
+      signals = found->second;
+    }
+  });
+  return signals;
+}
+
 void HopServer::OnClosed(const std::shared_ptr<FrameLink>& link) {
-  std::vector<std::shared_ptr<CancellationToken>> cancelled;
+  CancelOpen([&](const ExchangeKey& key) { return key.first == link.get(); });
+}
+
+void HopServer::CancelOpenRequests() {
+  CancelOpen([](const ExchangeKey&) { return true; });
+}
+
+// Callbacks of the tokens run without a lock.
+void HopServer::CancelOpen(
+    const std::function<bool(const ExchangeKey&)>& applies) {
+  std::vector<CallSignals> open;
   m_exchanges.ForEach([&](Shard& shard) {
-    for (const auto& [key, cancellation] : shard.open) {
-      if (key.first == link.get()) {
-        cancelled.push_back(cancellation);
+    for (const auto& [key, signals] : shard.open) {
+      if (applies(key)) {
+        open.push_back(signals);
       }
     }
   });
-  for (const auto& cancellation : cancelled) {
-    cancellation->Cancel();
+  for (const CallSignals& signals : open) {
+    signals.cancelled->Cancel();
   }
 }
 
 void HopServer::StartRequest(const std::shared_ptr<FrameLink>& link,
                              Frame frame) {
-  const auto cancellation = std::make_shared<CancellationToken>();
+  const CallSignals signals;
+  ++m_open_requests;
   m_exchanges.With(ShardKey(frame.exchange), [&](Shard& shard) {
-    shard.open[{link.get(), frame.exchange}] = cancellation;
+    shard.open[{link.get(), frame.exchange}] = signals;
   });
   asio::co_spawn(
       link->strand(),
-      [this, link, cancellation, frame = std::move(frame)]() mutable {
-        return Run(link, std::move(frame), cancellation);
+      [this, link, signals, frame = std::move(frame)]() mutable {
+        return Run(link, std::move(frame), signals);
       },
       asio::detached);
 }
 
-asio::awaitable<void> HopServer::Run(
-    std::shared_ptr<FrameLink> link,
-    Frame frame,
-    std::shared_ptr<CancellationToken> cancellation) {
+asio::awaitable<void> HopServer::Run(std::shared_ptr<FrameLink> link,
+                                     Frame frame,
+                                     CallSignals signals) {
   const uint64_t exchange = frame.exchange;
   const Outcome<HopRequest> decoded =
       Capture([&] { return FromBinary<HopRequest>(frame.payload); });
   HopResponse response;
   if (const auto* request = std::get_if<HopRequest>(&decoded)) {
-    response = co_await m_backend_proxy.Run(*request, cancellation);
+    response = co_await m_backend_proxy.Run(*request, signals);
   } else {
     response.outcome = HopOutcome::kNotRun;
     response.reason = ErrorId::kMalformedMessage;
@@ -96,6 +116,7 @@
     shard.open.erase({link.get(), exchange});
   });
   link->Send({FrameType::kHopResponse, exchange, ToBinary(response)});
+  --m_open_requests;
 }
 
 }  // namespace rosemarywinch
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -10,6 +10,7 @@
 #include "rosemarywinch/adapters/log.h"
 #include "rosemarywinch/adapters/metrics.h"
 #include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/decisions/mesh/stop_schedule.h"
 #include "rosemarywinch/programs/mesh/hop_client.h"
 #include "rosemarywinch/programs/mesh/hop_server.h"
 #include "rosemarywinch/programs/mesh/mesh_poller.h"
@@ -32,12 +33,6 @@
 // A backend server that misses this many consecutive reports counts as gone.
 constexpr int64_t kMaxMissedReports = 4;
 constexpr int64_t kMsPerSecond = 1000;
-// Readiness checks fail for this long before connections are closed, so that
-// the platform notices first.
-constexpr Duration kNotReadyPeriod{2'400};
-// A graceful shutdown ends this long before the grace period is over and the
-// process would be killed.
-constexpr Duration kStopMargin{250};
 constexpr Duration kStopCheckInterval{50};
 // A backend server gives up a call after 1 s.
 constexpr Duration kStoreTimeout{850};
@@ -96,8 +91,8 @@
           asio::detached);
     });
     LogEvent(LogLevel::kInfo, "stopped",
-             {{"open", std::to_string(OpenRequests())}});
-    return OpenRequests() == 0 ? ExitCode::kSuccess : ExitCode::kRequestsCutOff;
+             {{"cut_off", std::to_string(m_cut_off)}});
+    return m_cut_off == 0 ? ExitCode::kSuccess : ExitCode::kRequestsCutOff;
   }
 
  private:
@@ -213,25 +208,46 @@
   }
 
   size_t OpenRequests() const {
-    return m_caller_server->open_requests() + m_backend_proxy.open_requests();
+    return m_caller_server->open_requests() + m_hop_server.open_requests() +
+           m_backend_proxy.open_requests();
   }
 
   asio::awaitable<void> ShutDownGracefully() {
     LogEvent(LogLevel::kInfo, "stopping",
              {{"open", std::to_string(OpenRequests())}});
-    const TimePoint began = m_clock.Now();
     const auto grace =
         static_cast<int64_t>(m_settings.stop_grace * kMsPerSecond);
-    const TimePoint end = began + Duration{grace} - kStopMargin;
+    const StopSchedule schedule(m_clock.Now(), Duration{grace});
     m_caller_server->BeginClosing();
     m_backend_proxy.BeginStop();
     m_poller.BeginLeaving();
-    co_await Sleep(std::min(kNotReadyPeriod, end - began));
+    co_await SleepUntil(schedule.Begin(StopPhase::kClosed));
+    m_outbound_proxy.EnterPhase(StopPhase::kClosed);
+    m_caller_server->CloseToOtherHosts();
+    co_await WaitUntilDone(schedule.Begin(StopPhase::kFinishing));
+    m_outbound_proxy.EnterPhase(StopPhase::kFinishing);
+    m_links.WithdrawHopRequests();
+    co_await WaitUntilDone(schedule.Begin(StopPhase::kAnswering));
+    m_outbound_proxy.EnterPhase(StopPhase::kAnswering);
+    m_cut_off = OpenRequests();
+    m_caller_server->CancelOpenRequests();
+    m_hop_server.CancelOpenRequests();
+    co_await WaitUntilDone(schedule.Begin(StopPhase::kOver));
     m_caller_server->Stop();
+    // Responses that were handed to links are written meanwhile.
+    co_await Sleep(kStopCheckInterval);
+    m_runtime.Stop();
+  }
+
+  // Waits until no request is open, until `end` at most.
+  asio::awaitable<void> WaitUntilDone(TimePoint end) {
     while (OpenRequests() > 0 && m_clock.Now() < end) {
-      co_await Sleep(kStopCheckInterval);
+      co_await Sleep(std::min(kStopCheckInterval, end - m_clock.Now()));
     }
-    m_runtime.Stop();
+  }
+
+  asio::awaitable<void> SleepUntil(TimePoint time) {
+    return Sleep(time - m_clock.Now());
   }
 
   asio::awaitable<void> Sleep(Duration length) {
@@ -245,6 +261,8 @@
   SystemClock m_clock;
   SystemRandom m_random;
   Metrics m_metrics;
+  // Requests that had no response when the grace period was about to end.
+  size_t m_cut_off = 0;
   MeshRuntime m_runtime;
   MeshView m_view;
   BackendProxy m_backend_proxy;
--- a/src/programs/mesh/outbound_proxy.cc
+++ b/src/programs/mesh/outbound_proxy.cc
@@ -96,6 +96,12 @@
         RetryAfterRejection(refusal->reason, m_view.RandomFraction()));
   }
   const Admitted& admitted = std::get<Admitted>(decision);
+  const bool local_call = request.from_this_host && admitted.account == nullptr;
+  if (!IsAccepted(m_stop_phase, local_call ? RequestOrigin::kLocalBackend
+                                           : RequestOrigin::kCaller)) {
+    co_return Refuse(caller.request_id, Error{ErrorId::kDraining, ""},
+                     kDefaultRetryAfter);
+  }
   RequestState state;
   state.route = admitted.route;
   state.route_name = admitted.route->name;
@@ -148,7 +154,7 @@
     std::shared_ptr<CancellationToken> cancellation) {
   state.last.outcome = HopOutcome::kNotRun;
   state.last.reason = ErrorId::kNoBackend;
-  while (!cancellation->cancelled()) {
+  while (!cancellation->cancelled() && MaySend(m_stop_phase)) {
     const auto member = m_view.Choose(state.hop.service, state.excluded);
     if (!member) {
       co_return;
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -51,6 +51,8 @@
   }
 
   std::atomic<int> delay_ms{0};
+  // Delay of requests whose path ends in "slow".
+  std::atomic<int> slow_delay_ms{60'000};
   std::atomic<bool> wrong_id{false};
   std::atomic<int> abandoned{0};
 
@@ -63,7 +65,9 @@
       m_received.push_back(request);
     }
     asio::steady_timer timer(m_context);
-    for (int waited = 0; waited < delay_ms && !cancellation->cancelled();
+    const auto& delay =
+        request.path.ends_with("slow") ? slow_delay_ms : delay_ms;
+    for (int waited = 0; waited < delay && !cancellation->cancelled();
          waited += 10) {
       timer.expires_after(std::chrono::milliseconds(10));
       co_await timer.async_wait(asio::use_awaitable);
--- a/tests/unit-admission-queue.cpp
+++ b/tests/unit-admission-queue.cpp
@@ -26,6 +26,26 @@
   return {id, request_class, account, 1, nested, kLater};
 }
 
+BOOST_AUTO_TEST_CASE(
+    refused_waiting_calls_leave_the_queue_and_running_ones_stay) {
+  AdmissionQueue queue(MakeLimit(LimitPolicy::kStatic, 1), 10);
+  for (uint64_t id = 1; id <= 3; ++id) {
+    Ticket ticket;
+    ticket.id = id;
+    ticket.deadline = TimePoint{10'000};
+    queue.Offer(TimePoint{0}, ticket);
+  }
+  const auto refusals = queue.RefuseWaiting(ErrorId::kDraining);
+  BOOST_TEST(refusals.size() == 2u);
+  for (const Admission& refusal : refusals) {
+    BOOST_TEST((refusal.verdict == Verdict::kRefuse));
+    BOOST_TEST((refusal.reason == ErrorId::kDraining));
+  }
+  BOOST_TEST(queue.waiting() == 0u);
+  BOOST_TEST(queue.in_flight() == 1u);
+  BOOST_TEST(queue.Finish(TimePoint{1}, {1, false}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(essential_calls_evict_lookups_and_run_first) {
   AdmissionQueue queue = MakeQueue(1, 2);
   queue.Offer(kNow, Make(1, RequestClass::kLookup));
