End a caller's connection headers where they arrive

Cause: the caller's Connection header was forwarded to the node of the backend server, where the serializer applied it to the headers that the mesh had added.

Ruled out: filtering in the serializer by a list of protected names (the two ends of a hop would have to agree on it, and the headers of the caller's connection would still travel on).

HttpHeaders knows which headers are listed, in any of several Connection headers, for both interfaces and for responses.

--- a/include/rosemarywinch/interfaces/http.h
+++ b/include/rosemarywinch/interfaces/http.h
@@ -22,8 +22,12 @@
  public:
   void Add(std::string name, std::string value);
   void Remove(std::string_view name);
-  /// Removes the headers that are not forwarded; see IsConnectionHeader().
+  /// Removes the headers that are not forwarded: see IsConnectionHeader() and
+  /// IsListedInConnection().
   void RemoveConnectionHeaders();
+  /// Returns whether the sender lists `name` in a Connection header, as one
+  /// that applies to its connection only.
+  bool IsListedInConnection(std::string_view name) const;
   /// Returns the first value of `name`, or null when there is none.
   const std::string* Find(std::string_view name) const;
   const std::vector<HttpHeader>& all() const { return m_headers; }
--- a/src/adapters/async/http_serialization.cc
+++ b/src/adapters/async/http_serialization.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 #include <utility>
 
@@ -37,22 +36,10 @@
       [&](std::string_view other) { return SameHeaderName(name, other); });
 }
 
-bool IsListedInConnection(const std::string* connection,
-                          std::string_view name) {
-  if (connection == nullptr) {
-    return false;
-  }
-  const http::token_list tokens(*connection);
-  return std::any_of(tokens.begin(), tokens.end(), [&](const auto& token) {
-    return SameHeaderName({token.data(), token.size()}, name);
-  });
-}
-
 void AppendHeaders(std::string& text, const HttpHeaders& headers) {
-  const std::string* connection = headers.Find("Connection");
   for (const HttpHeader& header : headers.all()) {
     if (!IsHopByHopHeader(header.name) &&
-        !IsListedInConnection(connection, header.name)) {
+        !headers.IsListedInConnection(header.name)) {
       text += header.name + ": " + header.value + "\r\n";
     }
   }
--- a/src/core/http.cc
+++ b/src/core/http.cc
@@ -14,6 +14,29 @@
                     });
 }
 
+namespace {
+
+std::string_view WithoutBlanks(std::string_view text) {
+  const size_t first = text.find_first_not_of(" \t");
+  const size_t last = text.find_last_not_of(" \t");
+  return first == std::string_view::npos ? std::string_view()
+                                         : text.substr(first, last - first + 1);
+}
+
+// Returns whether a comma-separated list of header names contains `name`.
+bool ListContains(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const size_t comma = std::min(list.find(','), list.size());
+    if (SameHeaderName(WithoutBlanks(list.substr(0, comma)), name)) {
+      return true;
+    }
+    list.remove_prefix(std::min(comma + 1, list.size()));
+  }
+  return false;
+}
+
+}  // namespace
+
 bool IsConnectionHeader(std::string_view name) {
   constexpr std::array<std::string_view, 9> kNames{
       "Connection", "Content-Length", "Date",
@@ -25,11 +48,21 @@
 }
 
 void HttpHeaders::RemoveConnectionHeaders() {
-  std::erase_if(m_headers, [](const HttpHeader& header) {
-    return IsConnectionHeader(header.name);
+  const HttpHeaders received = *this;
+  std::erase_if(m_headers, [&](const HttpHeader& header) {
+    return IsConnectionHeader(header.name) ||
+           received.IsListedInConnection(header.name);
   });
 }
 
+bool HttpHeaders::IsListedInConnection(std::string_view name) const {
+  return std::any_of(m_headers.begin(), m_headers.end(),
+                     [&](const HttpHeader& header) {
+                       return SameHeaderName(header.name, "Connection") &&
+                              ListContains(header.value, name);
+                     });
+}
+
 void HttpHeaders::Add(std::string name, std::string value) {
   m_headers.push_back({std::move(name), std::move(value)});
 }
