Let a new leader honour the fallback rates that its predecessor granted

Cause: the cut-off node used its fallback rate until its lease ended; the new leader knew of no grants and gave the whole rate to the others.

Change: a grant carries the sum of all fallback rates, which nodes report to the next leader; it deducts the part of nodes that it hasn't heard until their leases have ended, and the most that can have been granted if no node knows. A first leader, before whose term there was no change, deducts nothing.

--- a/gen/rosemarywinch/schema/control.h
+++ b/gen/rosemarywinch/schema/control.h
@@ -289,17 +289,21 @@
   double wanted = 0;
   double returned = 0;
   double waiting = 0;
+  double fallback_rate = 0;
+  std::optional<double> fleet_fallback_rate;
 
   bool operator==(const QuotaReport&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 6> kQuotaReportFields{{
+inline constexpr std::array<FieldInfo, 8> kQuotaReportFields{{
     {"account", "", 0, 0, "", "", "", {}},
     {"demand", "", 0, 0, "", "", "", {}},
     {"held", "", 0, 0, "", "", "", {}},
     {"wanted", "", 0, 0, "", "", "", {}},
     {"returned", "", 0, 0, "", "", "", {}},
     {"waiting", "", 0, 0, "", "", "", {}},
+    {"fallback_rate", "", 0, 0, "", "", "", {}},
+    {"fleet_fallback_rate", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -312,6 +316,8 @@
   visit(kQuotaReportFields[3], self.wanted);
   visit(kQuotaReportFields[4], self.returned);
   visit(kQuotaReportFields[5], self.waiting);
+  visit(kQuotaReportFields[6], self.fallback_rate);
+  visit(kQuotaReportFields[7], self.fleet_fallback_rate);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -325,6 +331,9 @@
   visit(kQuotaReportFields[3], self.wanted, other.wanted);
   visit(kQuotaReportFields[4], self.returned, other.returned);
   visit(kQuotaReportFields[5], self.waiting, other.waiting);
+  visit(kQuotaReportFields[6], self.fallback_rate, other.fallback_rate);
+  visit(kQuotaReportFields[7], self.fleet_fallback_rate,
+        other.fleet_fallback_rate);
 }
 
 struct QuotaGrant {
@@ -332,15 +341,17 @@
   double tokens = 0;
   double fallback_rate = 0;
   bool dry = false;
+  double fleet_fallback_rate = 0;
 
   bool operator==(const QuotaGrant&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 4> kQuotaGrantFields{{
+inline constexpr std::array<FieldInfo, 5> kQuotaGrantFields{{
     {"account", "", 0, 0, "", "", "", {}},
     {"tokens", "", 0, 0, "", "", "", {}},
     {"fallback_rate", "", 0, 0, "", "", "", {}},
     {"dry", "", 0, 0, "", "", "", {}},
+    {"fleet_fallback_rate", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -351,6 +362,7 @@
   visit(kQuotaGrantFields[1], self.tokens);
   visit(kQuotaGrantFields[2], self.fallback_rate);
   visit(kQuotaGrantFields[3], self.dry);
+  visit(kQuotaGrantFields[4], self.fleet_fallback_rate);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -362,6 +374,8 @@
   visit(kQuotaGrantFields[1], self.tokens, other.tokens);
   visit(kQuotaGrantFields[2], self.fallback_rate, other.fallback_rate);
   visit(kQuotaGrantFields[3], self.dry, other.dry);
+  visit(kQuotaGrantFields[4], self.fleet_fallback_rate,
+        other.fleet_fallback_rate);
 }
 
 struct PackedDocument {
--- a/include/rosemarywinch/decisions/control/quota_cache.h
+++ b/include/rosemarywinch/decisions/control/quota_cache.h
@@ -59,6 +59,7 @@
   double m_demand = 0;
   TimePoint m_last_decay;
   double m_fallback_rate = 0;
+  double m_fleet_fallback_rate = 0;
   uint32_t m_waiting = 0;
   TimePoint m_last_refill;
   TimePoint m_last_answered;
--- a/include/rosemarywinch/decisions/control/quota_pool.h
+++ b/include/rosemarywinch/decisions/control/quota_pool.h
@@ -2,6 +2,7 @@
 #define ROSEMARYWINCH_DECISIONS_CONTROL_QUOTA_POOL_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "rosemarywinch/core/time.h"
@@ -38,12 +39,20 @@
 /// Invariant: the tokens in the pool and at nodes never exceed the burst plus a
 /// fraction of the tolerance. They are generated no faster than the rate,
 /// except for those that a cut-off node generates before control has noticed
-/// the lost contact.
+/// the lost contact. Fallback rates that an earlier leader granted are honoured
+/// until their leases have ended.
 class QuotaPool {
  public:
   /// `lease` is how long a node without contact may use its fallback rate.
-  QuotaPool(TimePoint now, Duration lease, QuotaTolerance tolerance)
-      : m_lease(lease), m_tolerance(tolerance), m_last_refill(now) {}
+  /// Earlier leaders granted none after `last_earlier_grant`.
+  QuotaPool(TimePoint now,
+            TimePoint last_earlier_grant,
+            Duration lease,
+            QuotaTolerance tolerance)
+      : m_lease(lease),
+        m_tolerance(tolerance),
+        m_earlier_leases_end(last_earlier_grant + lease),
+        m_last_refill(now) {}
 
   /// Processes the report of `node` and returns its grant. Complexity: linear
   /// in the nodes that use the account at most once per kScanInterval,
@@ -64,6 +73,8 @@
   };
 
   void Refill(TimePoint now, const RateLimit& limit);
+  void HearEarlierGrant(TimePoint now, const QuotaReport& report);
+  double EarlierSilentRate(TimePoint now, const RateLimit& limit) const;
   double Tolerance(const RateLimit& limit) const;
   double MaxStock(const RateLimit& limit) const;
   double MaxLevel(const RateLimit& limit) const;
@@ -72,6 +83,7 @@
 
   const Duration m_lease;
   const QuotaTolerance m_tolerance;
+  const TimePoint m_earlier_leases_end;
   std::map<std::string, Holder> m_holders;
   double m_level = 0;
   bool m_initialized = false;
@@ -79,6 +91,12 @@
   double m_held = 0;
   /// Sum of the fallback rates of nodes without contact.
   double m_silent_rate = 0;
+  /// Sum of the fallback rates of all nodes.
+  double m_fallback_rate = 0;
+  /// Sum of the fallback rates that the earlier leader granted, if a node knows
+  /// it, and the part of it that belongs to nodes heard by this one.
+  std::optional<double> m_earlier_rate;
+  double m_earlier_rate_heard = 0;
   TimePoint m_last_refill;
   TimePoint m_last_scan;
 };
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -79,6 +79,8 @@
   };
   struct AllocatorShard {
     TimePoint since;
+    /// No earlier leader granted a lease after this.
+    TimePoint last_earlier_grant;
     std::map<std::string, AllowanceAllocator> allocators;
     std::map<std::string, QuotaPool> pools;
   };
--- a/src/decisions/control/quota_cache.cc
+++ b/src/decisions/control/quota_cache.cc
@@ -66,6 +66,10 @@
   report.held = m_tokens;
   report.wanted = std::max(0.0, target - m_tokens);
   report.waiting = m_waiting;
+  if (now < m_lease_end) {
+    report.fallback_rate = m_fallback_rate;
+    report.fleet_fallback_rate = m_fleet_fallback_rate;
+  }
   return report;
 }
 
@@ -76,6 +80,7 @@
   AddFallbackTokens(now);
   m_tokens += grant.tokens;
   m_fallback_rate = grant.fallback_rate;
+  m_fleet_fallback_rate = grant.fleet_fallback_rate;
   m_last_answered = std::max(m_last_answered, sent);
   m_lease_end = std::max(m_lease_end, lease_end);
   if (grant.dry) {
--- a/src/decisions/control/quota_pool.cc
+++ b/src/decisions/control/quota_pool.cc
@@ -32,6 +32,9 @@
                                const std::string& node,
                                const QuotaReport& report) {
   Refill(now, limit);
+  if (!m_holders.contains(node)) {
+    HearEarlierGrant(now, report);
+  }
   Holder& holder = m_holders[node];
   const double demand = std::max(report.demand, kMinDemand);
   m_demand += demand - holder.demand;
@@ -57,10 +60,32 @@
   const double kept = std::max(0.0, grant.tokens - report.waiting);
   m_held += kept;
   holder.held += kept;
+  m_fallback_rate += grant.fallback_rate - holder.fallback_rate;
   holder.fallback_rate = grant.fallback_rate;
+  grant.fleet_fallback_rate = m_fallback_rate;
   return grant;
 }
 
+void QuotaPool::HearEarlierGrant(TimePoint now, const QuotaReport& report) {
+  if (now < m_earlier_leases_end && report.fleet_fallback_rate) {
+    m_earlier_rate =
+        std::max(m_earlier_rate.value_or(0), *report.fleet_fallback_rate);
+    m_earlier_rate_heard += report.fallback_rate;
+  }
+}
+
+// Returns the fallback rates that nodes may use that an earlier leader granted
+// them to and this one has not heard from. If no node knows of an earlier
+// grant, those that do may all be cut off.
+double QuotaPool::EarlierSilentRate(TimePoint now,
+                                    const RateLimit& limit) const {
+  const double granted =
+      m_earlier_rate.value_or(limit.rate * kFallbackRateFraction);
+  return now < m_earlier_leases_end
+             ? std::max(0.0, granted - m_earlier_rate_heard)
+             : 0;
+}
+
 void QuotaPool::Refill(TimePoint now, const RateLimit& limit) {
   if (!m_initialized) {
     m_initialized = true;
@@ -70,7 +95,8 @@
   if (now >= m_last_scan + kScanInterval) {
     Scan(now);
   }
-  const double rate = std::max(0.0, limit.rate - m_silent_rate);
+  const double rate =
+      std::max(0.0, limit.rate - m_silent_rate - EarlierSilentRate(now, limit));
   const double accrued = rate * (now - m_last_refill).Seconds();
   m_level = std::min(MaxLevel(limit), m_level + accrued);
   m_last_refill = now;
@@ -104,9 +130,11 @@
   m_demand = 0;
   m_held = 0;
   m_silent_rate = 0;
+  m_fallback_rate = 0;
   for (const auto& [node, holder] : m_holders) {
     m_demand += holder.demand;
     m_held += holder.held;
+    m_fallback_rate += holder.fallback_rate;
     if (now >= holder.last_heard + kQuotaSilenceTimeout) {
       m_silent_rate += holder.fallback_rate;
     }
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -113,8 +113,11 @@
     std::scoped_lock lock(m_pressures.mutex);
     m_pressures.board.Reset(now);
   }
+  // Without a change there is no account, so that no lease was granted.
+  const TimePoint last_earlier_grant = version == 0 ? now - m_lease : now;
   m_allocators.ForEach([&](AllocatorShard& shard) {
     shard.since = now;
+    shard.last_earlier_grant = last_earlier_grant;
     shard.allocators.clear();
     shard.pools.clear();
   });
@@ -284,7 +287,8 @@
     m_allocators.With(report.account, [&](AllocatorShard& shard) {
       QuotaPool& pool =
           shard.pools
-              .try_emplace(report.account, view.now, m_lease, m_tolerance)
+              .try_emplace(report.account, view.now, shard.last_earlier_grant,
+                           m_lease, m_tolerance)
               .first->second;
       response.quotas.push_back(
           pool.OnReport(view.now, limit, request.node, report));
--- a/tests/unit-quota.cpp
+++ b/tests/unit-quota.cpp
@@ -25,7 +25,7 @@
 class QuotaFleet {
  public:
   QuotaFleet(size_t nodes, RateLimit limit) : m_limit(limit), m_nodes(nodes) {
-    m_pool.emplace(m_now, kLease, QuotaTolerance{});
+    m_pool.emplace(m_now, m_now, kLease, QuotaTolerance{});
   }
 
   // `rate` is in requests/s over all nodes.
@@ -36,17 +36,19 @@
       PollDueNodes();
       std::poisson_distribution<int> arrivals(rate * kStep.Seconds());
       for (int count = arrivals(m_random); count > 0; --count) {
-        SendRequest(m_random() % m_nodes.size());
+        SendRequest(m_only_node.value_or(m_random() % m_nodes.size()));
       }
       UpdateWindow();
     }
   }
 
+  // Sends all requests to one node, or again to all nodes at random.
+  void SendOnlyTo(std::optional<size_t> node) { m_only_node = node; }
   void Disconnect(size_t node) { m_disconnected.insert(node); }
   void StopLeader() { m_leader_stopped = true; }
   void StartLeader() {
     m_leader_stopped = false;
-    m_pool.emplace(m_now, kLease, QuotaTolerance{});
+    m_pool.emplace(m_now, m_now, kLease, QuotaTolerance{});
   }
 
   double RejectedFraction() const {
@@ -126,6 +128,7 @@
   std::optional<QuotaPool> m_pool;
   std::set<size_t> m_disconnected;
   bool m_leader_stopped = false;
+  std::optional<size_t> m_only_node;
   std::deque<TimePoint> m_admitted;
   size_t m_sent = 0;
   size_t m_rejected = 0;
@@ -239,3 +242,24 @@
     }
   }
 }
+
+// Failure: a node that was cut off used its fallback rate, of which a new
+// leader did not know, so that both spent the account's rate.
+BOOST_AUTO_TEST_CASE(a_new_leader_honours_the_grants_of_its_predecessor) {
+  for (const bool hot_before : {false, true}) {
+    QuotaFleet fleet(6, {123, 123});
+    fleet.SendOnlyTo(0);
+    fleet.Run({10'000}, 100);
+    if (hot_before) {
+      fleet.SendOnlyTo(1);
+      fleet.Run({300}, 300);
+    }
+    fleet.Disconnect(0);
+    fleet.StopLeader();
+    fleet.SendOnlyTo({});
+    fleet.Run({1'000}, 400);
+    fleet.StartLeader();
+    fleet.Run({6'000}, 600);
+    BOOST_TEST(fleet.max_in_window() <= fleet.Allowed());
+  }
+}
