Answer a poll that hands over a departure once it is stored

What callers saw: nothing; a backend server that leaves waited for its acknowledgement until the node's second poll, 100 ms and more after the first.

Cause: the leader answered the poll at once, while the departure was being committed.

Change: it answers when the departure is stored, after 200 ms at the latest, so that a slow disk doesn't cost the node its lease. Polls without a departure are answered as before.

Evidence: unit-control-service, new case; process-stop-restart and process-platform pass.

--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -2,6 +2,7 @@
 #define ROSEMARYWINCH_PROGRAMS_CONTROL_SERVICE_H_
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -35,6 +36,12 @@
   /// Errors: kNotLeader, kProtocolVersion, kWrongCluster.
   Result<PollResponse> Poll(const PollRequest& request);
 
+  /// Begins to commit the departures in a poll that are not stored yet. Returns
+  /// whether there are any; `done` is then called for each, with the lock of
+  /// the driver held, once it is stored or the replica stops waiting for it.
+  bool StoreDepartures(const PollRequest& request,
+                       const std::function<void()>& done);
+
   /// Commits a change and waits up to `request.wait` until it is in force on
   /// every node.
   /// Errors: kNotLeader, kNotAccepted, kProtocolVersion.
@@ -88,7 +95,6 @@
   void AddFleetState(const FleetState& state,
                      uint64_t version,
                      PollResponse& response) const;
-  void StoreDepartures(const FleetState& state, const PollRequest& request);
   void AddDepartures(const FleetState& state,
                      const PollRequest& request,
                      PollResponse& response) const;
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -55,7 +55,6 @@
   }
   AddFleetState(*view.state, request.config_version, response);
   BOOST_LEAF_CHECK(AddMeshConfiguration(view, request, response));
-  StoreDepartures(*view.state, request);
   AddDepartures(*view.state, request, response);
   AddMembers(view.now, request, response);
   AddPressures(view.now, request, response);
@@ -152,24 +151,32 @@
   response.state = std::move(copy);
 }
 
-// The poll that follows finds the departures stored.
-void ControlService::StoreDepartures(const FleetState& state,
-                                     const PollRequest& request) {
+bool ControlService::StoreDepartures(const PollRequest& request,
+                                     const std::function<void()>& done) {
+  const auto view = Capture([&] { return m_driver->ReadAsLeader(); });
+  const auto* leader = std::get_if<ConsensusDriver::LeaderView>(&view);
+  if (leader == nullptr) {
+    return false;
+  }
+  bool begun = false;
   for (const Departure& departure : request.departures) {
-    RecordDeparture change{request.node, departure};
+    const RecordDeparture change{request.node, departure};
     const bool stored =
-        HasLeft(StoredDepartures(state, request.node), departure);
+        HasLeft(StoredDepartures(*leader->state, request.node), departure);
     if (stored || !m_recording.Begin(change)) {
       continue;
     }
+    begun = true;
     FleetCommand command;
     command.author = request.node;
     command.change = change;
     m_driver->SubmitAsync(std::move(command),
-                          [this, change](const Outcome<CommandResult>&) {
+                          [this, change, done](const Outcome<CommandResult>&) {
                             m_recording.End(change);
+                            done();
                           });
   }
+  return begun;
 }
 
 void ControlService::AddDepartures(const FleetState& state,
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <memory>
 #include <set>
 #include <string>
@@ -27,6 +29,8 @@
 constexpr unsigned kIoThreads = 2;
 // Below the 1 s after which an operator's client tries another replica.
 constexpr Duration kCommitTimeout{900};
+// Well below the time after which a node takes a replica for unreachable.
+constexpr Duration kMaxStoreWait{200};
 // Nodes may act on a poll response for this percentage of the withdrawal limit:
 // the duration of their leases.
 constexpr int64_t kLeasePercent = 70;
@@ -175,11 +179,47 @@
   }
 
   void HandlePoll(const std::shared_ptr<FrameLink>& link, const Frame& frame) {
-    const Outcome<PollResponse> outcome =
-        Capture([&]() -> Result<PollResponse> {
-          BOOST_LEAF_AUTO(request, FromBinary<PollRequest>(frame.payload));
-          return m_service.Poll(request);
-        });
+    Outcome<PollRequest> decoded =
+        Capture([&] { return FromBinary<PollRequest>(frame.payload); });
+    if (const auto* error = std::get_if<Error>(&decoded)) {
+      SendPollReply(link, frame.exchange, *error);
+      return;
+    }
+    auto& request = std::get<PollRequest>(decoded);
+    if (request.departures.empty()) {
+      AnswerPoll(link, frame.exchange, request);
+      return;
+    }
+    asio::co_spawn(
+        link->strand(),
+        [this, link, exchange = frame.exchange, request = std::move(request)] {
+          return StoreAndAnswerPoll(link, exchange, request);
+        },
+        asio::detached);
+  }
+
+  // The backend server that leaves waits for its acknowledgement, so that the
+  // answer to the poll says at once that the departure is stored.
+  asio::awaitable<void> StoreAndAnswerPoll(std::shared_ptr<FrameLink> link,
+                                           uint64_t exchange,
+                                           PollRequest request) {
+    const auto stored = std::make_shared<OneShot<bool>>(link->strand());
+    if (m_service.StoreDepartures(request, [stored] { stored->Set(true); })) {
+      co_await stored->Wait(kMaxStoreWait);
+    }
+    AnswerPoll(link, exchange, request);
+  }
+
+  void AnswerPoll(const std::shared_ptr<FrameLink>& link,
+                  uint64_t exchange,
+                  const PollRequest& request) {
+    SendPollReply(link, exchange,
+                  Capture([&] { return m_service.Poll(request); }));
+  }
+
+  static void SendPollReply(const std::shared_ptr<FrameLink>& link,
+                            uint64_t exchange,
+                            const Outcome<PollResponse>& outcome) {
     PollReply reply;
     if (const auto* error = std::get_if<Error>(&outcome)) {
       reply.error = error->id;
@@ -187,7 +227,7 @@
     } else {
       reply.response = std::get<PollResponse>(outcome);
     }
-    link->Send({FrameType::kPollReply, frame.exchange, ToBinary(reply)});
+    link->Send({FrameType::kPollReply, exchange, ToBinary(reply)});
   }
 
   asio::awaitable<HttpResponse> HandleOperator(HttpRequest request) {
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -20,8 +20,8 @@
 constexpr Duration kMinPollPause{40};
 // Added to kMinPollPause after a round in which every poll failed.
 constexpr Duration kUnreachableBackoff{150};
-// Pause after a poll that handed a departure to control, which stores it in a
-// few milliseconds.
+// Pause after a poll that handed a departure to control without learning that
+// it is stored.
 constexpr Duration kStorePause{100};
 
 std::chrono::milliseconds ToChrono(Duration length) {
--- a/tests/unit-control-service.cpp
+++ b/tests/unit-control-service.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <future>
 #include <thread>
 
 #include "rosemarywinch/adapters/system.h"
@@ -33,6 +34,18 @@
     return std::get<PollResponse>(outcome);
   }
 
+  // Stores the departures in a poll and waits for that. Returns whether there
+  // were any to store.
+  bool Store(const PollRequest& request) {
+    std::promise<void> stored;
+    const bool begun =
+        m_service.StoreDepartures(request, [&] { stored.set_value(); });
+    if (begun) {
+      stored.get_future().wait();
+    }
+    return begun;
+  }
+
  private:
   static ConsensusDriver::Options Options() {
     ConsensusDriver::Options options;
@@ -71,6 +84,25 @@
   return request;
 }
 
+// Failure: a departure was acknowledged that no later process could know.
+BOOST_AUTO_TEST_CASE(a_departure_is_in_the_poll_after_it_was_stored) {
+  LeaderFixture leader;
+  PollRequest request = RequestOf("n1");
+  BOOST_TEST(!leader.Poll(request).departures_known);
+  request.departures = {{"i-1", Duration{1'000}}};
+  BOOST_TEST(leader.Store(request));
+  const PollResponse response = leader.Poll(request);
+  BOOST_TEST(response.departures_known);
+  BOOST_TEST((response.departures == request.departures));
+  BOOST_TEST(!leader.Store(request));
+  // The next process of the node.
+  request.departures.clear();
+  request.wants_departures = true;
+  BOOST_TEST(leader.Poll(request).departures.size() == 1u);
+  request.node = "n2";
+  BOOST_TEST(leader.Poll(request).departures.empty());
+}
+
 // Access pattern: a request finds no token at its node, many times a second
 // over all nodes.
 BOOST_AUTO_TEST_CASE(a_poll_for_tokens_gets_grants_and_nothing_else) {
