Keep idle connections of this host open during a planned stop

What callers saw: nothing measured. 2.4 s into a planned stop a node closed its idle connections; a call of the local backend server that crossed the close was lost, and with it the request for which it was made.

Change: only idle connections of other hosts are closed then; those of this host live until the process ends. process-stop-restart now makes one of its nested calls on a connection that was kept from before the stop.

--- a/include/rosemarywinch/adapters/async/async_http_connection.h
+++ b/include/rosemarywinch/adapters/async/async_http_connection.h
@@ -32,6 +32,9 @@
   /// response, because the server is closing by then.
   void CloseWhenIdle();
 
+  /// Returns whether the peer is a process on this host.
+  bool from_this_host() const { return m_from_this_host; }
+
   /// Cancels the requests that have no response yet.
   void CancelOpenRequests();
 
--- a/include/rosemarywinch/adapters/async/async_http_server.h
+++ b/include/rosemarywinch/adapters/async/async_http_server.h
@@ -55,8 +55,8 @@
   void BeginClosing();
   bool closing() const { return m_closing; }
 
-  /// Closes existing connections as they become idle, and from now on accepts
-  /// only those of processes on this host.
+  /// Closes the connections of other hosts as they become idle, and accepts
+  /// only those of processes on this host from now on.
   void CloseToOtherHosts();
 
   /// Cancels the requests that have no response yet, so that their handlers end
@@ -75,7 +75,6 @@
   void AddConnection(Tcp::socket socket);
   void RemoveConnection(const AsyncHttpConnection* connection);
   std::vector<std::shared_ptr<AsyncHttpConnection>> OpenConnections() const;
-  void CloseIdleConnections();
 
   asio::io_context& m_context;
   /// Serializes access to the listening socket.
--- a/src/adapters/async/async_http_server.cc
+++ b/src/adapters/async/async_http_server.cc
@@ -44,7 +44,11 @@
 void AsyncHttpServer::CloseToOtherHosts() {
   m_closing = true;
   m_closed_to_other_hosts = true;
-  CloseIdleConnections();
+  for (const auto& connection : OpenConnections()) {
+    if (!connection->from_this_host()) {
+      connection->CloseWhenIdle();
+    }
+  }
 }
 
 void AsyncHttpServer::CancelOpenRequests() {
@@ -59,10 +63,6 @@
     error_code ignored;
     self->m_acceptor->close(ignored);
   });
-  CloseIdleConnections();
-}
-
-void AsyncHttpServer::CloseIdleConnections() {
   for (const auto& connection : OpenConnections()) {
     connection->CloseWhenIdle();
   }
--- a/tests/process-stop-restart.cpp
+++ b/tests/process-stop-restart.cpp
@@ -242,11 +242,16 @@
 // could make no calls for the requests that it still ran.
 BOOST_FIXTURE_TEST_CASE(a_planned_stop_serves_calls_of_the_local_backend,
                         Fixture) {
+  RawClient kept(mesh.Callers(0), Mesh::NodeHost(0));
+  kept.Send(PatientRequest("/open/1", "before"));
+  BOOST_REQUIRE(kept.Read().status == 200);
   RawClient holds_open(mesh.Callers(0));
   holds_open.Send(PatientRequest("/pay/slow", "first"));
   BOOST_REQUIRE(WaitUntil([&] { return HasReceived("first"); }));
   mesh.nodes[0]->Signal(SIGTERM);
   SleepFor(kClosed);
+  kept.Send(PatientRequest("/open/1", "on-a-kept-connection"));
+  BOOST_TEST(kept.Read().status == 200);
   RawClient local(mesh.Callers(0), Mesh::NodeHost(0));
   local.Send(PatientRequest("/open/1", "nested"));
   BOOST_TEST(local.Read().status == 200);
