--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -113,7 +113,7 @@
     BOOST_LEAF_CHECK(m_caller_server->Start(m_settings.caller_address));
     m_local_server = MakeServer(
         [this](HttpRequest request, const std::shared_ptr<CancellationToken>&) {
-          return HandleLocal(std::move(request));
+          return HandleLocal(request);
         });
     BOOST_LEAF_CHECK(m_local_server->Start(m_settings.local_address));
     m_readiness_server = MakeServer(
@@ -152,7 +152,7 @@
     co_return response;
   }
 
-  asio::awaitable<HttpResponse> HandleLocal(HttpRequest request) {
+  asio::awaitable<HttpResponse> HandleLocal(const HttpRequest& request) {
     return std::visit([this](auto call) { return Handle(std::move(call)); },
                       m_protocol.ReadLocalCall(request));
   }
