--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -112,7 +112,8 @@
         });
     BOOST_LEAF_CHECK(m_caller_server->Start(m_settings.caller_address));
     m_local_server = MakeServer(
-        [this](HttpRequest request, const std::shared_ptr<CancellationToken>&) {
+        [this](const HttpRequest& request,
+               const std::shared_ptr<CancellationToken>&) {
           return HandleLocal(request);
         });
     BOOST_LEAF_CHECK(m_local_server->Start(m_settings.local_address));
