--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -111,9 +111,9 @@
                                          std::move(cancellation));
         });
     BOOST_LEAF_CHECK(m_caller_server->Start(m_settings.caller_address));
-    m_local_server = MakeServer(
-        [this](const HttpRequest& request,
-               const std::shared_ptr<CancellationToken>&) {
+    m_local_server =
+        MakeServer([this](const HttpRequest& request,
+                          const std::shared_ptr<CancellationToken>&) {
           return HandleLocal(request);
         });
     BOOST_LEAF_CHECK(m_local_server->Start(m_settings.local_address));
