Move the answers to local calls out of mesh_node.cc

Cause: mesh_node.cc did three jobs: it wired the components, answered the calls of the local backend server, and ran the planned stop. Reading it as a newcomer, the departure's acknowledgement stood between readiness and shutdown.

Change: LocalCallHandler answers those calls, so that it can be tested without a process.

--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -13,6 +13,7 @@
 #include "rosemarywinch/decisions/mesh/stop_schedule.h"
 #include "rosemarywinch/programs/mesh/hop_client.h"
 #include "rosemarywinch/programs/mesh/hop_server.h"
+#include "rosemarywinch/programs/mesh/local_call_handler.h"
 #include "rosemarywinch/programs/mesh/mesh_poller.h"
 #include "rosemarywinch/programs/mesh/mesh_programs.h"
 #include "rosemarywinch/programs/mesh/mesh_runtime.h"
@@ -25,7 +26,6 @@
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
-constexpr int kBadRequest = 400;
 constexpr uint32_t kQueueLength = 400;
 // Nothing in a node waits for a disk, so more threads than cores would only add
 // switches between them.
@@ -34,8 +34,6 @@
 constexpr int64_t kMaxMissedReports = 4;
 constexpr int64_t kMsPerSecond = 1000;
 constexpr Duration kStopCheckInterval{50};
-// A backend server gives up a call after 1 s.
-constexpr Duration kStoreTimeout{850};
 
 /// A node of the mesh; owns its components.
 class MeshNode {
@@ -52,6 +50,7 @@
                         kQueueLength,
                         protocol,
                         m_clock),
+        m_local_calls(protocol, m_backend_proxy),
         m_links(m_runtime.context()),
         m_hop_client(settings.node_name, m_backend_proxy, m_links, m_clock),
         m_hop_server(m_runtime.context(),
@@ -114,7 +113,7 @@
     m_local_server =
         MakeServer([this](const HttpRequest& request,
                           const std::shared_ptr<CancellationToken>&) {
-          return HandleLocal(request);
+          return m_local_calls.Handle(request);
         });
     BOOST_LEAF_CHECK(m_local_server->Start(m_settings.local_address));
     m_readiness_server = MakeServer(
@@ -153,66 +152,6 @@
     co_return response;
   }
 
-  asio::awaitable<HttpResponse> HandleLocal(const HttpRequest& request) {
-    return std::visit([this](auto call) { return Handle(std::move(call)); },
-                      m_protocol.ReadLocalCall(request));
-  }
-
-  asio::awaitable<HttpResponse> Handle(ReportCall report) {
-    if (m_backend_proxy.OnReport(report) == ReportOutcome::kInvalid) {
-      LogEvent(LogLevel::kInfo, "report_invalid",
-               {{"backend", report.backend_id}});
-      HttpResponse invalid = Acknowledgement();
-      invalid.status = kBadRequest;
-      co_return invalid;
-    }
-    const auto departure = DepartureIn(report.backend_id, report.report);
-    if (!departure) {
-      co_return Acknowledgement();
-    }
-    co_return co_await AcknowledgeDeparture(*departure);
-  }
-
-  asio::awaitable<HttpResponse> Handle(WithdrawCall withdraw) {
-    const auto departure = m_backend_proxy.OnWithdraw(withdraw);
-    if (!departure) {
-      co_return RefuseLocalCall(
-          Error{ErrorId::kBadValue, "born of " + withdraw.backend_id});
-    }
-    co_return co_await AcknowledgeDeparture(*departure);
-  }
-
-  asio::awaitable<HttpResponse> Handle(UnknownCall unknown) {
-    LogEvent(LogLevel::kInfo, "local_call_refused",
-             {{"error", unknown.error.Message()}});
-    co_return RefuseLocalCall(std::move(unknown.error));
-  }
-
-  // An acknowledged departure binds later processes of this node too, so that
-  // control must have stored it.
-  asio::awaitable<HttpResponse> AcknowledgeDeparture(Departure departure) {
-    const std::string id = departure.backend_id;
-    if (co_await m_backend_proxy.WaitUntilStored(std::move(departure),
-                                                 kStoreTimeout)) {
-      co_return Acknowledgement();
-    }
-    LogEvent(LogLevel::kInfo, "departure_not_stored", {{"backend", id}});
-    co_return RefuseLocalCall(Error{ErrorId::kCutOff, "departure not stored"});
-  }
-
-  HttpResponse RefuseLocalCall(Error error) {
-    Refusal refusal;
-    refusal.error = std::move(error);
-    return m_protocol.WriteRefusal(refusal);
-  }
-
-  static HttpResponse Acknowledgement() {
-    HttpResponse response;
-    response.headers.Add("Content-Type", "application/json");
-    response.body = "{}";
-    return response;
-  }
-
   size_t OpenRequests() const {
     return m_caller_server->open_requests() + m_hop_server.open_requests() +
            m_backend_proxy.open_requests();
@@ -272,6 +211,7 @@
   MeshRuntime m_runtime;
   MeshView m_view;
   BackendProxy m_backend_proxy;
+  LocalCallHandler m_local_calls;
   LinkClient m_links;
   HopClient m_hop_client;
   HopServer m_hop_server;
