Answer a notice that names no incarnation with 400

What callers saw: a backend server (or another writer) that sent a notice without `born`, for an id that the node doesn't know, got 500, as if the node had failed.

Cause: kBadValue has no status of its own, and the default is 500.

Change: the handler of local calls answers bad values with 400, for notices as for reports, and logs the notice.

Measured: unit-local-calls before: 500 in place of 400; now it passes. It also checks 503 until a departure is stored, and 200 after, without a process.

--- a/src/programs/mesh/local_call_handler.cc
+++ b/src/programs/mesh/local_call_handler.cc
@@ -46,6 +46,8 @@
 asio::awaitable<HttpResponse> LocalCallHandler::Answer(WithdrawCall withdraw) {
   const auto departure = m_backend_proxy.OnWithdraw(withdraw);
   if (!departure) {
+    LogEvent(LogLevel::kInfo, "notice_invalid",
+             {{"backend", withdraw.backend_id}});
     co_return Refuse(
         Error{ErrorId::kBadValue, "born of " + withdraw.backend_id});
   }
@@ -74,6 +76,9 @@
 HttpResponse LocalCallHandler::Refuse(Error error) {
   Refusal refusal;
   refusal.error = std::move(error);
+  if (refusal.error.id == ErrorId::kBadValue) {
+    refusal.status = kBadRequest;
+  }
   return m_protocol.WriteRefusal(refusal);
 }
 
