Cancel queued requests by that name, and miss none that is being sent

Cause: "withdraw" stood for three things: the notice of a backend server, the end of a key, and the frame that ends requests in other nodes' queues. Reading the last one again showed a fault: a request that is sent while a planned stop cancels all could be overtaken by its own cancellation; the other node then started it after the phase in which it could still finish.

Change: the frame is cancel_if_queued (number 8 as before), CallSignals has start_cancelled, LinkClient CancelQueuedHopRequests(). A request is followed by a cancellation of its own if the general one began while it was sent.

--- a/gen/rosemarywinch/schema/link.h
+++ b/gen/rosemarywinch/schema/link.h
@@ -25,7 +25,7 @@
   kPollRequest = 5,
   kPollReply = 6,
   kPeerMessage = 7,
-  kWithdraw = 8,
+  kCancelIfQueued = 8,
 };
 
 inline constexpr std::array<EnumEntry<FrameType>, 9> kFrameTypeTable{{
@@ -37,9 +37,9 @@
     {FrameType::kPollRequest, "poll_request", "a PollRequest", "", 0},
     {FrameType::kPollReply, "poll_reply", "a PollReply", "", 0},
     {FrameType::kPeerMessage, "peer_message", "a PeerMessage", "", 0},
-    {FrameType::kWithdraw, "withdraw",
-     "the request is not to be started any more; it is answered all the same",
-     "", 0},
+    {FrameType::kCancelIfQueued, "cancel_if_queued",
+     "the request is not to be started any more; the reply is still wanted", "",
+     0},
 }};
 
 constexpr const auto& EnumTable(FrameType /*tag*/) {
--- a/include/rosemarywinch/adapters/async/link_client.h
+++ b/include/rosemarywinch/adapters/async/link_client.h
@@ -48,9 +48,9 @@
       Duration limit,
       std::shared_ptr<CancellationToken> cancellation);
 
-  /// Withdraws all open hop requests: those that their node has not sent to its
-  /// backend server are answered as not run. Later ones are not sent.
-  void WithdrawHopRequests();
+  /// Cancels the hop requests that are queued at their nodes, which answer them
+  /// as not run; those that run are not affected. Later ones are not sent.
+  void CancelQueuedHopRequests();
 
   /// Sends a frame without waiting for a reply; it may be lost.
   void Post(const std::string& address, FrameType type, std::string payload);
@@ -76,7 +76,7 @@
 
   asio::io_context& m_context;
   std::atomic<uint64_t> m_next_exchange{1};
-  std::atomic<bool> m_withdrawn{false};
+  std::atomic<bool> m_closed_to_hop_requests{false};
   Sharded<LinkShard> m_links;
   Sharded<ExchangeShard> m_exchanges;
 };
--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -24,7 +24,7 @@
   std::shared_ptr<CancellationToken> cancelled =
       std::make_shared<CancellationToken>();
   /// The call must not be started any more. If it was, its response is wanted.
-  std::shared_ptr<CancellationToken> withdrawn =
+  std::shared_ptr<CancellationToken> start_cancelled =
       std::make_shared<CancellationToken>();
 };
 
--- a/include/rosemarywinch/programs/mesh/hop_server.h
+++ b/include/rosemarywinch/programs/mesh/hop_server.h
@@ -17,7 +17,7 @@
 namespace rosemarywinch {
 
 /// Serves requests from other nodes. Cancels a request when its link closes or
-/// a cancel frame arrives, and withdraws it when its node asks for that.
+/// a cancel frame arrives; its node may also cancel it only if it is queued.
 /// Thread-safe.
 class HopServer {
  public:
--- a/src/adapters/async/link_client.cc
+++ b/src/adapters/async/link_client.cc
@@ -42,12 +42,15 @@
   if (link->closed()) {
     reply->Set({ExchangeStatus::kStaleLink, ""});
   }
-  // After a withdrawal no further hop request is sent; one that was registered
-  // before it was withdrawn itself, and is sent all the same.
-  if (type == FrameType::kHopRequest && m_withdrawn) {
+  const bool hop_request = type == FrameType::kHopRequest;
+  if (hop_request && m_closed_to_hop_requests) {
     reply->Set({ExchangeStatus::kNotSent, ""});
   } else {
     link->Send({type, exchange, std::move(payload)});
+    // The cancellation of all hop requests may have overtaken this one.
+    if (hop_request && m_closed_to_hop_requests) {
+      link->Send({FrameType::kCancelIfQueued, exchange, ""});
+    }
   }
   std::optional<ExchangeResult> result = co_await reply->Wait(limit);
   m_exchanges.With(ShardKey(exchange),
@@ -63,12 +66,12 @@
   co_return std::move(*result);
 }
 
-void LinkClient::WithdrawHopRequests() {
-  m_withdrawn = true;
+void LinkClient::CancelQueuedHopRequests() {
+  m_closed_to_hop_requests = true;
   m_exchanges.ForEach([&](ExchangeShard& shard) {
     for (const auto& [number, open] : shard.open) {
       if (open.type == FrameType::kHopRequest) {
-        open.link->Send({FrameType::kWithdraw, number, ""});
+        open.link->Send({FrameType::kCancelIfQueued, number, ""});
       }
     }
   });
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -234,7 +234,7 @@
   }
   const auto end_wait = [waiter] { waiter->Cancel(); };
   const CancellationCallback watch_cancelled(signals.cancelled, end_wait);
-  const CancellationCallback watch_withdrawn(signals.withdrawn, end_wait);
+  const CancellationCallback watch_start(signals.start_cancelled, end_wait);
   const auto verdict = co_await waiter->Wait(deadline - m_clock.Now());
   if (verdict == Verdict::kRun) {
     co_return std::nullopt;
@@ -249,7 +249,7 @@
       NotifyWaiters(m_queue.Finish(m_clock.Now(), {0, true}));
     }
   }
-  if (!verdict && signals.withdrawn->cancelled()) {
+  if (!verdict && signals.start_cancelled->cancelled()) {
     co_return ErrorId::kDraining;
   }
   co_return verdict ? ErrorId::kOverloaded : ErrorId::kDeadlinePassed;
@@ -262,7 +262,7 @@
   const auto backend = FindServing(request.service);
   const Duration left = deadline - m_clock.Now();
   if (!backend || signals.cancelled->cancelled() ||
-      signals.withdrawn->cancelled()) {
+      signals.start_cancelled->cancelled()) {
     co_return NotRun(ErrorId::kNoBackend);
   }
   if (left < kMinWorkTime) {
--- a/src/programs/mesh/hop_server.cc
+++ b/src/programs/mesh/hop_server.cc
@@ -41,8 +41,8 @@
   }
   if (frame.type == FrameType::kCancel) {
     signals->cancelled->Cancel();
-  } else if (frame.type == FrameType::kWithdraw) {
-    signals->withdrawn->Cancel();
+  } else if (frame.type == FrameType::kCancelIfQueued) {
+    signals->start_cancelled->Cancel();
   }
 }
 
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -171,7 +171,7 @@
     m_caller_server->CloseToOtherHosts();
     co_await WaitUntilDone(schedule.Begin(StopPhase::kFinishing));
     m_outbound_proxy.EnterPhase(StopPhase::kFinishing);
-    m_links.WithdrawHopRequests();
+    m_links.CancelQueuedHopRequests();
     co_await WaitUntilDone(schedule.Begin(StopPhase::kAnswering));
     m_outbound_proxy.EnterPhase(StopPhase::kAnswering);
     m_cut_off = OpenRequests();
--- a/tests/unit-link.cpp
+++ b/tests/unit-link.cpp
@@ -6,8 +6,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 #include <chrono>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "rosemarywinch/adapters/async/link_client.h"
 #include "support/relay.h"
@@ -148,4 +154,80 @@
   BOOST_TEST((fixture.Call() == ExchangeStatus::kReplied));
 }
 
+// A node in whose queue each request waits until it is cancelled there.
+class QueueingPeer {
+ public:
+  explicit QueueingPeer(asio::io_context& context)
+      : m_listener(
+            context,
+            [this](const std::shared_ptr<FrameLink>& link, const Frame& frame) {
+              OnFrame(link, frame);
+            },
+            [](const std::shared_ptr<FrameLink>&) {}) {
+    BOOST_REQUIRE(m_listener.Start(m_address));
+  }
+
+  const std::string& address() const { return m_address; }
+
+ private:
+  void OnFrame(const std::shared_ptr<FrameLink>& link, const Frame& frame) {
+    std::scoped_lock lock(m_mutex);
+    if (frame.type == FrameType::kHopRequest) {
+      m_queued.insert({link.get(), frame.exchange});
+    } else if (frame.type == FrameType::kCancelIfQueued &&
+               m_queued.erase({link.get(), frame.exchange}) > 0) {
+      link->Send({FrameType::kHopResponse, frame.exchange, "not run"});
+    }
+  }
+
+  const std::string m_address = "127.0.0.1:" + std::to_string(test::FreePort());
+  std::mutex m_mutex;
+  std::set<std::pair<const FrameLink*, uint64_t>> m_queued;
+  FrameListener m_listener;
+};
+
+// Failure: a request that was sent while all were cancelled was overtaken by
+// its cancellation, and would have been started after it.
+BOOST_AUTO_TEST_CASE(no_request_misses_the_cancellation_of_queued_ones) {
+  constexpr int kRounds = 60;
+  constexpr int kRequests = 100;
+  constexpr Duration kMissed{5'000};
+  asio::io_context context;
+  auto work = asio::make_work_guard(context);
+  QueueingPeer peer(context);
+  std::deque<LinkClient> clients;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back([&] { context.run(); });
+  }
+  int replied = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    LinkClient& links = clients.emplace_back(context);
+    std::vector<std::future<ExchangeResult>> results;
+    std::thread cancelling;
+    for (int i = 0; i < kRequests; ++i) {
+      results.push_back(asio::co_spawn(
+          context,
+          links.Exchange(peer.address(), FrameType::kHopRequest, "request",
+                         kMissed, std::make_shared<CancellationToken>()),
+          asio::use_future));
+      if (i == round) {
+        cancelling = std::thread([&] { links.CancelQueuedHopRequests(); });
+      }
+    }
+    cancelling.join();
+    for (auto& result : results) {
+      const ExchangeStatus status = result.get().status;
+      BOOST_REQUIRE((status == ExchangeStatus::kReplied ||
+                     status == ExchangeStatus::kNotSent));
+      replied += status == ExchangeStatus::kReplied ? 1 : 0;
+    }
+  }
+  BOOST_TEST(replied > 0);
+  context.stop();
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
 }  // namespace
