Split the admission of a request into its steps

Change: BeginRequest, CheckAccount and FillHopRequest do a step each; who counts as the local backend server and the priority for shedding are named functions. Behaviour unchanged.

--- a/include/rosemarywinch/programs/mesh/outbound_proxy.h
+++ b/include/rosemarywinch/programs/mesh/outbound_proxy.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,6 +58,13 @@
       HttpRequest request,
       CallerRequest caller,
       std::shared_ptr<CancellationToken> cancellation);
+  RequestState BeginRequest(TimePoint now,
+                            const CallerRequest& caller,
+                            const Admitted& admitted);
+  asio::awaitable<std::optional<HttpResponse>> CheckAccount(
+      RequestState& state,
+      const Admitted& admitted);
+  void FillHopRequest(RequestState& state, HttpRequest request) const;
   asio::awaitable<void> SendWithRetries(
       RequestState& state,
       std::shared_ptr<CancellationToken> cancellation);
--- a/src/programs/mesh/outbound_proxy.cc
+++ b/src/programs/mesh/outbound_proxy.cc
@@ -43,6 +43,23 @@
   return LoadReport{response.in_flight, response.waiting};
 }
 
+// Calls of the local backend server come from this host and carry no key.
+RequestOrigin OriginOf(const HttpRequest& request, const Admitted& admitted) {
+  return request.from_this_host && admitted.account == nullptr
+             ? RequestOrigin::kLocalBackend
+             : RequestOrigin::kCaller;
+}
+
+// Returns the priority by which a request is shed: first that of its account,
+// then that of its route. 0 is shed last.
+uint32_t SheddingPriority(const Admitted& admitted) {
+  const uint32_t of_account =
+      std::min(admitted.priority, kLowestAccountPriority);
+  const uint32_t of_route =
+      std::min(admitted.route->spec.priority, kRoutePriorities - 1);
+  return of_account * kRoutePriorities + of_route;
+}
+
 // Returns the pressure on the member itself, without that on its dependencies.
 // A member that did not answer by the deadline counts as overloaded; one that
 // could not be reached gives no information.
@@ -87,6 +104,7 @@
     CallerRequest caller,
     std::shared_ptr<CancellationToken> cancellation) {
   const TimePoint now = m_clock.Now();
+  // Keeps the route and the account alive until the response is made.
   const MeshView::ConfigState config_state = m_view.CurrentConfigState();
   const EntryDecision decision = CheckEntry(
       now, config_state.entry_context, {caller.host, caller.path, caller.key});
@@ -96,57 +114,79 @@
         RetryAfterRejection(refusal->reason, m_view.RandomFraction()));
   }
   const Admitted& admitted = std::get<Admitted>(decision);
-  const bool local_call = request.from_this_host && admitted.account == nullptr;
-  if (!IsAccepted(m_stop_phase, local_call ? RequestOrigin::kLocalBackend
-                                           : RequestOrigin::kCaller)) {
+  if (!IsAccepted(m_stop_phase, OriginOf(request, admitted))) {
     co_return Refuse(caller.request_id, Error{ErrorId::kDraining, ""},
                      kDefaultRetryAfter);
   }
+  RequestState state = BeginRequest(now, caller, admitted);
+  state.config_version = config_state.config->version();
+  if (admitted.account != nullptr) {
+    auto refusal = co_await CheckAccount(state, admitted);
+    if (refusal) {
+      co_return std::move(*refusal);
+    }
+  }
+  FillHopRequest(state, std::move(request));
+  m_view.CountRequest(state.hop.service);
+  if (state.hop.nested) {
+    const Duration left =
+        caller.time_left.value_or(admitted.route->spec.timeout);
+    state.hop.calls_before = m_view.CountCall(state.hop.service, now + left);
+  }
+  co_await SendWithRetries(state, std::move(cancellation));
+  co_return Finish(state);
+}
+
+OutboundProxy::RequestState OutboundProxy::BeginRequest(
+    TimePoint now,
+    const CallerRequest& caller,
+    const Admitted& admitted) {
   RequestState state;
   state.route = admitted.route;
   state.route_name = admitted.route->name;
-  state.config_version = config_state.config->version();
   state.arrived = now;
   const Duration allowed = admitted.route->spec.timeout;
   state.deadline = now + std::min(allowed, caller.time_left.value_or(allowed));
   state.hop.service = m_view.ChooseService(*admitted.route);
-  if (admitted.account != nullptr) {
-    state.hop.account = admitted.account->name;
-    const uint32_t priority =
-        std::min(admitted.priority, kLowestAccountPriority) * kRoutePriorities +
-        std::min(admitted.route->spec.priority, kRoutePriorities - 1);
-    if (!m_view.AdmitRootRequest(state.hop.service, priority)) {
-      co_return Refuse(
-          caller.request_id,
-          Error{ErrorId::kOverloaded,
-                m_view.ExplainShedding(state.hop.service, priority)},
-          kDefaultRetryAfter * 3);
-    }
-    if (admitted.account->spec.rate > 0) {
-      const auto wait = co_await m_view.TakeToken(admitted.account->name);
-      if (wait) {
-        co_return Refuse(caller.request_id,
-                         Error{ErrorId::kRateExceeded, state.hop.account},
-                         *wait);
-      }
-    }
-  }
-  state.hop.request_id = std::move(caller.request_id);
-  state.hop.method = std::move(request.method);
-  state.hop.target = std::move(request.target);
-  state.hop.headers = m_protocol.ForwardedHeaders(request);
-  state.hop.body = std::move(request.body);
-  state.hop.caller_service = m_local_service;
   state.hop.priority = admitted.priority;
   state.hop.nested = admitted.account == nullptr;
   state.hop.kind = admitted.route->spec.kind;
-  m_view.CountRequest(state.hop.service);
-  if (state.hop.nested) {
-    const Duration left = caller.time_left.value_or(allowed);
-    state.hop.calls_before = m_view.CountCall(state.hop.service, now + left);
+  state.hop.request_id = caller.request_id;
+  return state;
+}
+
+// Returns the refusal of a request that is shed, or exceeds its account's rate.
+asio::awaitable<std::optional<HttpResponse>> OutboundProxy::CheckAccount(
+    RequestState& state,
+    const Admitted& admitted) {
+  const std::string& service = state.hop.service;
+  state.hop.account = admitted.account->name;
+  const uint32_t priority = SheddingPriority(admitted);
+  if (!m_view.AdmitRootRequest(service, priority)) {
+    co_return Refuse(
+        state.hop.request_id,
+        Error{ErrorId::kOverloaded, m_view.ExplainShedding(service, priority)},
+        kDefaultRetryAfter * 3);
   }
-  co_await SendWithRetries(state, std::move(cancellation));
-  co_return Finish(state);
+  if (admitted.account->spec.rate <= 0) {
+    co_return std::nullopt;
+  }
+  const auto wait = co_await m_view.TakeToken(state.hop.account);
+  if (wait) {
+    co_return Refuse(state.hop.request_id,
+                     Error{ErrorId::kRateExceeded, state.hop.account}, *wait);
+  }
+  co_return std::nullopt;
+}
+
+void OutboundProxy::FillHopRequest(RequestState& state,
+                                   HttpRequest request) const {
+  HopRequest& hop = state.hop;
+  hop.headers = m_protocol.ForwardedHeaders(request);
+  hop.method = std::move(request.method);
+  hop.target = std::move(request.target);
+  hop.body = std::move(request.body);
+  hop.caller_service = m_local_service;
 }
 
 asio::awaitable<void> OutboundProxy::SendWithRetries(
