--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -74,7 +74,7 @@
     PressureBoard board;
   };
   /// Departures whose commands are being committed. Thread-safe.
-  class Recording {
+  class PendingDepartures {
    public:
     /// Returns false if the command is being committed already.
     bool Begin(const RecordDeparture& change);
@@ -122,7 +122,7 @@
   VersionState m_version_state;
   Directory m_directory;
   Pressures m_pressures;
-  Recording m_recording;
+  PendingDepartures m_pending_departures;
   Sharded<AllocatorShard> m_allocators;
   ConfigurationPublisher m_publisher;
   std::mutex m_mesh_mutex;
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -163,7 +163,7 @@
     const RecordDeparture change{request.node, departure};
     const bool stored =
         HasLeft(StoredDepartures(*leader->state, request.node), departure);
-    if (stored || !m_recording.Begin(change)) {
+    if (stored || !m_pending_departures.Begin(change)) {
       continue;
     }
     begun = true;
@@ -172,7 +172,7 @@
     command.change = change;
     m_driver->SubmitAsync(std::move(command),
                           [this, change, done](const Outcome<CommandResult>&) {
-                            m_recording.End(change);
+                            m_pending_departures.End(change);
                             done();
                           });
   }
@@ -189,7 +189,7 @@
   }
 }
 
-bool ControlService::Recording::Begin(const RecordDeparture& change) {
+bool ControlService::PendingDepartures::Begin(const RecordDeparture& change) {
   std::scoped_lock lock(m_mutex);
   const bool open =
       std::find(m_open.begin(), m_open.end(), change) != m_open.end();
@@ -199,7 +199,7 @@
   return !open;
 }
 
-void ControlService::Recording::End(const RecordDeparture& change) {
+void ControlService::PendingDepartures::End(const RecordDeparture& change) {
   std::scoped_lock lock(m_mutex);
   std::erase(m_open, change);
 }
