Split the three large schemas by what they are about

Cause: generated control.h (982 lines), fleet.h (752) and settings.h (646) each held several subjects; a reader of the quota pool or the membership directory had to include and search all messages of control.

Change: members, quota, hop, policy and mesh_settings are schemas of their own; headers include what they use. No message, field, number or name changed.

Measured: the generated lines of the eight files together are the same as those of the three before (sorted and compared; only the lines that name the source differ). All targets build; unit tests, process-path and the linters for format, generated code and layers pass.

--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -10,6 +10,7 @@
 #include "rosemarywinch/decisions/traffic/client_key.h"
 #include "rosemarywinch/decisions/traffic/route_table.h"
 #include "rosemarywinch/decisions/traffic/router.h"
+#include "rosemarywinch/schema/control.h"
 
 namespace rosemarywinch::bench {
 namespace {
--- a/include/rosemarywinch/adapters/metrics.h
+++ b/include/rosemarywinch/adapters/metrics.h
@@ -10,7 +10,7 @@
 #include "rosemarywinch/core/sharded.h"
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/schema/errors.h"
-#include "rosemarywinch/schema/fleet.h"
+#include "rosemarywinch/schema/policy.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/control/allowance_allocator.h
+++ b/include/rosemarywinch/decisions/control/allowance_allocator.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "rosemarywinch/core/time.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/quota.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/control/membership_directory.h
+++ b/include/rosemarywinch/decisions/control/membership_directory.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "rosemarywinch/core/time.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/members.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/control/quota_cache.h
+++ b/include/rosemarywinch/decisions/control/quota_cache.h
@@ -6,7 +6,7 @@
 
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/decisions/control/quota_pool.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/quota.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/control/quota_pool.h
+++ b/include/rosemarywinch/decisions/control/quota_pool.h
@@ -7,7 +7,7 @@
 
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/decisions/control/allowance_allocator.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/quota.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/fleet/policy.h
+++ b/include/rosemarywinch/decisions/fleet/policy.h
@@ -7,6 +7,7 @@
 #include "rosemarywinch/core/error.h"
 #include "rosemarywinch/decisions/fleet/tree_path.h"
 #include "rosemarywinch/schema/fleet.h"
+#include "rosemarywinch/schema/policy.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/fleet/tree_path.h
+++ b/include/rosemarywinch/decisions/fleet/tree_path.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "rosemarywinch/core/error.h"
-#include "rosemarywinch/schema/fleet.h"
+#include "rosemarywinch/schema/policy.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/mesh/backend_presence.h
+++ b/include/rosemarywinch/decisions/mesh/backend_presence.h
@@ -7,7 +7,8 @@
 
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/decisions/mesh/departure_tracker.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/fleet.h"
+#include "rosemarywinch/schema/members.h"
 #include "rosemarywinch/schema/mesh.h"
 
 namespace rosemarywinch {
--- a/include/rosemarywinch/decisions/traffic/admission_queue.h
+++ b/include/rosemarywinch/decisions/traffic/admission_queue.h
@@ -12,7 +12,7 @@
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/decisions/traffic/concurrency_limit.h"
 #include "rosemarywinch/schema/errors.h"
-#include "rosemarywinch/schema/fleet.h"
+#include "rosemarywinch/schema/policy.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/traffic/idempotency_store.h
+++ b/include/rosemarywinch/decisions/traffic/idempotency_store.h
@@ -13,7 +13,7 @@
 #include "rosemarywinch/core/sharded.h"
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/interfaces/http.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/hop.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/decisions/traffic/router.h
+++ b/include/rosemarywinch/decisions/traffic/router.h
@@ -10,7 +10,7 @@
 
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/interfaces/random.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/members.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/interfaces/hop_channel.h
+++ b/include/rosemarywinch/interfaces/hop_channel.h
@@ -4,7 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/members.h"
 #include "rosemarywinch/schema/mesh.h"
 
 namespace rosemarywinch {
--- a/include/rosemarywinch/programs/backend_dispatcher.h
+++ b/include/rosemarywinch/programs/backend_dispatcher.h
@@ -20,7 +20,8 @@
 #include "rosemarywinch/interfaces/http.h"
 #include "rosemarywinch/interfaces/random.h"
 #include "rosemarywinch/programs/hop.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/hop.h"
+#include "rosemarywinch/schema/members.h"
 #include "rosemarywinch/schema/settings.h"
 
 namespace rosemarywinch {
--- a/include/rosemarywinch/programs/configuration_publisher.h
+++ b/include/rosemarywinch/programs/configuration_publisher.h
@@ -8,6 +8,7 @@
 
 #include "rosemarywinch/core/error.h"
 #include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/fleet.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/programs/consensus_driver.h
+++ b/include/rosemarywinch/programs/consensus_driver.h
@@ -18,6 +18,7 @@
 #include "rosemarywinch/interfaces/random.h"
 #include "rosemarywinch/interfaces/storage.h"
 #include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/fleet.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -19,6 +19,7 @@
 #include "rosemarywinch/programs/configuration_publisher.h"
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/fleet.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/programs/hop.h
+++ b/include/rosemarywinch/programs/hop.h
@@ -8,7 +8,7 @@
 #include "rosemarywinch/core/error.h"
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/interfaces/http.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/hop.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/programs/mesh/mesh_programs.h
+++ b/include/rosemarywinch/programs/mesh/mesh_programs.h
@@ -5,6 +5,7 @@
 
 #include "rosemarywinch/interfaces/mesh_protocol.h"
 #include "rosemarywinch/programs/servers.h"
+#include "rosemarywinch/schema/mesh_settings.h"
 #include "rosemarywinch/schema/settings.h"
 
 namespace rosemarywinch {
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -22,6 +22,7 @@
 #include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/interfaces/random.h"
 #include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/members.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/programs/node_state.h
+++ b/include/rosemarywinch/programs/node_state.h
@@ -18,6 +18,8 @@
 #include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/interfaces/random.h"
 #include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/fleet.h"
+#include "rosemarywinch/schema/members.h"
 
 namespace rosemarywinch {
 
--- a/include/rosemarywinch/programs/operator_commands.h
+++ b/include/rosemarywinch/programs/operator_commands.h
@@ -11,7 +11,7 @@
 #include "rosemarywinch/interfaces/secret_hasher.h"
 #include "rosemarywinch/programs/control_client.h"
 #include "rosemarywinch/programs/servers.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/fleet.h"
 #include "rosemarywinch/schema/settings.h"
 
 namespace rosemarywinch {
--- a/include/rosemarywinch/programs/request_journal.h
+++ b/include/rosemarywinch/programs/request_journal.h
@@ -7,7 +7,7 @@
 
 #include "rosemarywinch/core/sharded.h"
 #include "rosemarywinch/schema/errors.h"
-#include "rosemarywinch/schema/fleet.h"
+#include "rosemarywinch/schema/policy.h"
 
 namespace rosemarywinch {
 
--- a/src/programs/operator_commands.cc
+++ b/src/programs/operator_commands.cc
@@ -15,6 +15,7 @@
 #include "rosemarywinch/decisions/fleet/policy.h"
 #include "rosemarywinch/decisions/traffic/client_key.h"
 #include "rosemarywinch/interfaces/http_request_builder.h"
+#include "rosemarywinch/schema/control.h"
 
 namespace rosemarywinch {
 
--- a/tests/unit-json-codec.cpp
+++ b/tests/unit-json-codec.cpp
@@ -8,7 +8,9 @@
 #include "rosemarywinch/programs/hop.h"
 #include "rosemarywinch/schema/consensus.h"
 #include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/fleet.h"
 #include "rosemarywinch/schema/mesh.h"
+#include "rosemarywinch/schema/policy.h"
 #include "support/fakes.h"
 
 namespace rosemarywinch {
--- a/tests/unit-odd-input.cpp
+++ b/tests/unit-odd-input.cpp
@@ -14,6 +14,7 @@
 #include "rosemarywinch/interfaces/http_request_builder.h"
 #include "rosemarywinch/schema/consensus.h"
 #include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/fleet.h"
 
 // Pattern: another writer sends entries that are valid in form but odd: deeply
 // nested, with numbers that do not fit, or truncated. A decoder rejects them
--- a/tools/standins/standin_backend.cc
+++ b/tools/standins/standin_backend.cc
@@ -19,7 +19,7 @@
 #include "rosemarywinch/adapters/curl_channel.h"
 #include "rosemarywinch/adapters/http_server.h"
 #include "rosemarywinch/adapters/json_codec.h"
-#include "rosemarywinch/schema/control.h"
+#include "rosemarywinch/schema/members.h"
 
 namespace rosemarywinch {
 namespace {
