Move the polls and the operator's calls out of mesh_control.cc

Cause: the file held the program of a control replica and, in 170 of its 386 lines, the answers to polls and to the operator's calls. Change: PollHandler and OperatorCallHandler, each in a file of its own; the code of the answers is the same, only the members that it reads are named by constructors now.

--- /dev/null
+++ b/include/rosemarywinch/programs/mesh/operator_call_handler.h
@@ -0,0 +1,48 @@
+#ifndef ROSEMARYWINCH_PROGRAMS_MESH_OPERATOR_CALL_HANDLER_H_
+#define ROSEMARYWINCH_PROGRAMS_MESH_OPERATOR_CALL_HANDLER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+
+#include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/interfaces/mesh_protocol.h"
+#include "rosemarywinch/programs/consensus_driver.h"
+
+namespace rosemarywinch {
+
+namespace asio = boost::asio;
+
+/// Answers the calls in which operators store and read the configuration. A
+/// replica that does not lead sends them on to the leader. Thread-safe.
+class OperatorCallHandler {
+ public:
+  /// Operators reach every replica at its address with `operator_port`.
+  OperatorCallHandler(uint32_t replica_id,
+                      uint16_t operator_port,
+                      MeshProtocol& protocol,
+                      ConsensusDriver& driver)
+      : m_replica_id(replica_id),
+        m_operator_port(operator_port),
+        m_protocol(protocol),
+        m_driver(driver) {}
+
+  asio::awaitable<HttpResponse> Handle(HttpRequest request);
+
+ private:
+  HttpResponse GetConfiguration(const HttpRequest& request);
+  asio::awaitable<HttpResponse> StoreConfiguration(HttpRequest request,
+                                                   PutConfigurationCall call);
+  HttpResponse RespondOrRedirect(const HttpRequest& request,
+                                 const Error& error);
+  HttpResponse MakeResponse(const Error& error);
+
+  const uint32_t m_replica_id;
+  const uint16_t m_operator_port;
+  MeshProtocol& m_protocol;
+  ConsensusDriver& m_driver;
+  const SodiumHasher m_hasher;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_PROGRAMS_MESH_OPERATOR_CALL_HANDLER_H_
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -1,6 +1,4 @@
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <memory>
 #include <set>
 #include <string>
@@ -19,6 +17,8 @@
 #include "rosemarywinch/programs/control_service.h"
 #include "rosemarywinch/programs/mesh/mesh_programs.h"
 #include "rosemarywinch/programs/mesh/mesh_runtime.h"
+#include "rosemarywinch/programs/mesh/operator_call_handler.h"
+#include "rosemarywinch/programs/mesh/poll_handler.h"
 #include "rosemarywinch/programs/mesh/seed_watcher.h"
 
 namespace rosemarywinch {
@@ -27,10 +27,6 @@
 
 // One of them may wait for the disk.
 constexpr unsigned kIoThreads = 2;
-// Below the 1 s after which an operator's client tries another replica.
-constexpr Duration kCommitTimeout{900};
-// Well below the time after which a node takes a replica for unreachable.
-constexpr Duration kMaxStoreWait{200};
 // Nodes may act on a poll response for this percentage of the withdrawal limit:
 // the duration of their leases.
 constexpr int64_t kLeasePercent = 70;
@@ -40,9 +36,6 @@
 // With these, an unresponsive leader is replaced within about a second.
 constexpr Duration kHeartbeat{100};
 constexpr Duration kElectionTimeout{500};
-constexpr int kUnavailable = 503;
-constexpr int kBadRequest = 400;
-constexpr int kPreconditionFailed = 412;
 
 // Returns the ids of the replicas at `seeds`; addresses that cannot be parsed
 // are logged and left out.
@@ -83,7 +76,6 @@
               const SettingsSource& source,
               MeshProtocol& protocol)
       : m_settings(settings),
-        m_protocol(protocol),
         m_runtime(kIoThreads),
         m_links(m_runtime.context()),
         m_transport(m_links, PortOf(settings.peer_address).value_or(0)),
@@ -97,6 +89,11 @@
                  m_storage,
                  m_transport,
                  m_service),
+        m_polls(m_service),
+        m_operator_calls(Ipv4AsUint(settings.peer_address),
+                         PortOf(settings.operator_address).value_or(0),
+                         protocol,
+                         m_driver),
         m_listener(
             m_runtime.context(),
             [this](const std::shared_ptr<FrameLink>& link, const Frame& frame) {
@@ -116,7 +113,7 @@
     m_operator_server = std::make_shared<AsyncHttpServer>(
         m_runtime.context(),
         [this](HttpRequest request, const std::shared_ptr<CancellationToken>&) {
-          return HandleOperator(std::move(request));
+          return m_operator_calls.Handle(std::move(request));
         });
     BOOST_LEAF_CHECK(m_operator_server->Start(m_settings.operator_address));
     if (!m_settings.metrics_address.empty()) {
@@ -163,7 +160,7 @@
     if (frame.type == FrameType::kPeerMessage) {
       HandlePeerMessage(frame);
     } else if (frame.type == FrameType::kPollRequest) {
-      HandlePoll(link, frame);
+      m_polls.Handle(link, frame);
     }
   }
 
@@ -178,165 +175,6 @@
     m_driver.Receive(std::get<PeerMessage>(message));
   }
 
-  void HandlePoll(const std::shared_ptr<FrameLink>& link, const Frame& frame) {
-    Outcome<PollRequest> decoded =
-        Capture([&] { return FromBinary<PollRequest>(frame.payload); });
-    if (const auto* error = std::get_if<Error>(&decoded)) {
-      SendPollReply(link, frame.exchange, *error);
-      return;
-    }
-    auto& request = std::get<PollRequest>(decoded);
-    if (request.departures.empty()) {
-      AnswerPoll(link, frame.exchange, request);
-      return;
-    }
-    asio::co_spawn(
-        link->strand(),
-        [this, link, exchange = frame.exchange, request = std::move(request)] {
-          return StoreAndAnswerPoll(link, exchange, request);
-        },
-        asio::detached);
-  }
-
-  // The backend server that leaves waits for its acknowledgement, so that the
-  // answer to the poll says at once that the departure is stored.
-  asio::awaitable<void> StoreAndAnswerPoll(std::shared_ptr<FrameLink> link,
-                                           uint64_t exchange,
-                                           PollRequest request) {
-    const auto stored = std::make_shared<OneShot<bool>>(link->strand());
-    if (m_service.StoreDepartures(request, [stored] { stored->Set(true); })) {
-      co_await stored->Wait(kMaxStoreWait);
-    }
-    AnswerPoll(link, exchange, request);
-  }
-
-  void AnswerPoll(const std::shared_ptr<FrameLink>& link,
-                  uint64_t exchange,
-                  const PollRequest& request) {
-    SendPollReply(link, exchange,
-                  Capture([&] { return m_service.Poll(request); }));
-  }
-
-  static void SendPollReply(const std::shared_ptr<FrameLink>& link,
-                            uint64_t exchange,
-                            const Outcome<PollResponse>& outcome) {
-    PollReply reply;
-    if (const auto* error = std::get_if<Error>(&outcome)) {
-      reply.error = error->id;
-      reply.detail = error->detail;
-    } else {
-      reply.response = std::get<PollResponse>(outcome);
-    }
-    link->Send({FrameType::kPollReply, exchange, ToBinary(reply)});
-  }
-
-  asio::awaitable<HttpResponse> HandleOperator(HttpRequest request) {
-    OperatorCall call = m_protocol.ReadOperatorCall(request);
-    if (auto* put = std::get_if<PutConfigurationCall>(&call)) {
-      co_return co_await StoreConfiguration(request, std::move(*put));
-    }
-    if (const auto* unknown = std::get_if<UnknownCall>(&call)) {
-      LogEvent(LogLevel::kInfo, "operator_call_refused",
-               {{"error", unknown->error.Message()}});
-      co_return MakeResponse(unknown->error);
-    }
-    co_return GetConfiguration(request);
-  }
-
-  HttpResponse GetConfiguration(const HttpRequest& request) {
-    const auto view = Capture([&] { return m_driver.ReadAsLeader(); });
-    if (const auto* error = std::get_if<Error>(&view)) {
-      return RespondOrRedirect(request, *error);
-    }
-    const auto& record =
-        std::get<ConsensusDriver::LeaderView>(view).state->configuration;
-    if (record.version == 0) {
-      return MakeResponse({ErrorId::kCutOff, "no configuration yet"});
-    }
-    return m_protocol.WriteConfiguration(record.document);
-  }
-
-  asio::awaitable<HttpResponse> StoreConfiguration(HttpRequest request,
-                                                   PutConfigurationCall call) {
-    const std::string version = std::to_string(call.configuration.version);
-    PutConfiguration change;
-    change.version = call.configuration.version;
-    change.base_version = call.configuration.base_version;
-    change.document = std::move(call.document);
-    change.fingerprint = m_hasher.Hash(call.canonical);
-    const auto built = Capture(
-        [&] { return MeshConfig::Build(std::move(call.configuration)); });
-    if (const auto* error = std::get_if<Error>(&built)) {
-      LogEvent(LogLevel::kInfo, "configuration_refused",
-               {{"version", version}, {"error", error->Message()}});
-      co_return MakeResponse(*error);
-    }
-    using Accepted = OneShot<Outcome<CommandResult>>;
-    const auto accepted =
-        std::make_shared<Accepted>(co_await asio::this_coro::executor);
-    FleetCommand command;
-    command.author = "operator";
-    command.change = std::move(change);
-    m_driver.SubmitAsync(std::move(command),
-                         [accepted](Outcome<CommandResult> outcome) {
-                           accepted->Set(std::move(outcome));
-                         });
-    const auto outcome = co_await accepted->Wait(kCommitTimeout);
-    if (!outcome) {
-      co_return MakeResponse({ErrorId::kNotAccepted,
-                              "no quorum acknowledged the command in time"});
-    }
-    if (const auto* error = std::get_if<Error>(&*outcome)) {
-      co_return RespondOrRedirect(request, *error);
-    }
-    const auto& result = std::get<CommandResult>(*outcome);
-    LogEvent(LogLevel::kInfo, "configuration_put",
-             {{"version", version},
-              {"result", std::string(NameOf(result.error))},
-              {"in_place", std::to_string(result.version)}});
-    co_return MakeResponse({result.error, result.detail});
-  }
-
-  HttpResponse RespondOrRedirect(const HttpRequest& request,
-                                 const Error& error) {
-    const auto leader = ParseWhole<uint32_t>(error.detail);
-    const bool elsewhere = error.id == ErrorId::kNotLeader && leader &&
-                           *leader > 0 &&
-                           *leader != Ipv4AsUint(m_settings.peer_address);
-    if (!elsewhere) {
-      return MakeResponse(error);
-    }
-    return m_protocol.WriteRedirect(
-        request, AddressFromIpv4(
-                     *leader, PortOf(m_settings.operator_address).value_or(0)));
-  }
-
-  HttpResponse MakeResponse(const Error& error) {
-    Refusal refusal;
-    refusal.error = error;
-    switch (error.id) {
-      case ErrorId::kNone: {
-        HttpResponse accepted;
-        accepted.headers.Add("Content-Type", "application/json");
-        accepted.body = "{}";
-        return accepted;
-      }
-      case ErrorId::kConflict:
-        refusal.status = kPreconditionFailed;
-        break;
-      case ErrorId::kBadValue:
-      case ErrorId::kMalformedMessage:
-        refusal.status = kBadRequest;
-        break;
-      case ErrorId::kUnknownRoute:
-        break;
-      default:
-        refusal.status = kUnavailable;
-        break;
-    }
-    return m_protocol.WriteRefusal(refusal);
-  }
-
   asio::awaitable<HttpResponse> HandleMetrics() {
     const ControlStatus status = m_driver.Status();
     m_metrics.Set("control_leader", status.leader ? 1 : 0);
@@ -350,10 +188,8 @@
   }
 
   const MeshControlSettings m_settings;
-  MeshProtocol& m_protocol;
   SystemClock m_clock;
   SystemRandom m_random;
-  SodiumHasher m_hasher;
   Metrics m_metrics;
   MeshRuntime m_runtime;
   LinkClient m_links;
@@ -361,6 +197,8 @@
   FileStorage m_storage;
   ControlService m_service;
   ConsensusDriver m_driver;
+  PollHandler m_polls;
+  OperatorCallHandler m_operator_calls;
   FrameListener m_listener;
   SeedWatcher m_seed_watcher;
   std::shared_ptr<AsyncHttpServer> m_operator_server;
