Let the last answer of a connection arrive before the connection ends

Callers: an answer that closed its connection (a planned stop, or a caller's own Connection: close) broke off when the caller sent its next request while it was still reading. Cause: the connection was closed once the kernel had taken the answer. Bytes that arrive at a closed connection reset it, and a reset destroys what is still on its way. Ruled out: a deadline or a cancelled request; the same answer is whole when the caller sends nothing. Change: FinishAndClose() sends the end of the stream and reads on without using what it reads, until the caller closes or 1 s after the last answer. A connection that has been silent for longer closes at once, as before. A planned stop waits for it within its deadline. Why it works: nothing is unread when the connection closes, and what comes meanwhile is taken instead of answered by a reset.

--- a/include/rosemarywinch/adapters/async/async_http_connection.h
+++ b/include/rosemarywinch/adapters/async/async_http_connection.h
@@ -59,6 +59,10 @@
   void RejectInput(int status);
   void ResetParser();
   std::optional<std::chrono::steady_clock::time_point> NextTimeout() const;
+  /// Sends no more and reads on without using it, until the peer closes or its
+  /// last response had time to arrive. A connection that is closed with bytes
+  /// unread is reset, which destroys what is on its way.
+  void FinishAndClose();
   void Close();
   void Wake();
   asio::awaitable<void> WaitForChange();
@@ -78,13 +82,19 @@
   /// Never expires; cancelled to wake the loops that wait for a change of this
   /// connection.
   asio::steady_timer m_changed;
+  /// Cancelled when the next timeout has changed.
+  asio::steady_timer m_timeout;
   std::chrono::steady_clock::time_point m_last_activity;
+  /// When the last response had been written.
+  std::chrono::steady_clock::time_point m_last_response;
   std::chrono::steady_clock::time_point m_request_start;
   bool m_partial = false;
   /// The read loop waits until the parser has taken bytes from `m_buffer`.
   bool m_reading_paused = false;
   /// No further request is parsed from this connection.
   bool m_last_request = false;
+  /// Everything is written; FinishAndClose() was called.
+  bool m_finishing = false;
   bool m_closed = false;
   /// The parse loop must send 100 Continue. Set only while no exchange is open,
   /// so that it cannot interleave with a response.
--- a/include/rosemarywinch/adapters/async/async_http_server.h
+++ b/include/rosemarywinch/adapters/async/async_http_server.h
@@ -69,6 +69,10 @@
   /// Number of requests that were read and whose response is not sent yet.
   size_t open_requests() const { return m_open_requests; }
 
+  /// Number of connections that are closing and whose last response may still
+  /// be on its way.
+  size_t lingering_connections() const { return m_lingering_connections; }
+
  private:
   friend class AsyncHttpConnection;
 
@@ -84,6 +88,7 @@
   std::atomic<bool> m_closing{false};
   std::atomic<bool> m_closed_to_other_hosts{false};
   std::atomic<size_t> m_open_requests{0};
+  std::atomic<size_t> m_lingering_connections{0};
   mutable std::mutex m_mutex;
   AsyncServerLimits m_limits;
   std::map<const AsyncHttpConnection*, std::weak_ptr<AsyncHttpConnection>>
--- a/src/adapters/async/async_http_connection.cc
+++ b/src/adapters/async/async_http_connection.cc
@@ -27,6 +27,8 @@
 // A caller that neither reads nor acknowledges responses is disconnected after
 // this time.
 constexpr Duration kDeadPeerTimeout{5'000};
+// For a response to arrive, and for the peer to see that the connection ends.
+constexpr Duration kLingerTime{1'000};
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
@@ -56,6 +58,7 @@
       m_limits(m_server->limits()),
       m_from_this_host(IsFromThisHost(m_socket)),
       m_changed(m_strand, SteadyClock::time_point::max()),
+      m_timeout(m_strand),
       m_last_activity(SteadyClock::now()) {
   SetConnectionOptions(m_socket, kDeadPeerTimeout);
   ResetParser();
@@ -78,7 +81,7 @@
     const bool idle = self->m_exchanges.empty() && !self->m_partial &&
                       self->m_buffer.size() == 0;
     if (idle) {
-      self->Close();
+      self->FinishAndClose();
     }
   });
 }
@@ -128,6 +131,9 @@
       Close();
       co_return;
     }
+    if (m_finishing) {
+      continue;
+    }
     m_buffer.commit(asio::buffer_copy(m_buffer.prepare(count),
                                       asio::buffer(m_chunk, count)));
     m_last_activity = SteadyClock::now();
@@ -255,16 +261,24 @@
     m_exchanges.pop_front();
     --m_server->m_open_requests;
     m_last_activity = SteadyClock::now();
-    if (error || close) {
+    m_last_response = m_last_activity;
+    if (error) {
       Close();
       co_return;
     }
+    if (close) {
+      FinishAndClose();
+      co_return;
+    }
     Wake();
   }
 }
 
 std::optional<SteadyClock::time_point> AsyncHttpConnection::NextTimeout()
     const {
+  if (m_finishing) {
+    return m_last_response + ToChrono(kLingerTime);
+  }
   if (m_partial) {
     const Duration limit =
         m_parser->is_header_done() ? kBodyTimeout : m_limits.header_timeout;
@@ -277,7 +291,6 @@
 }
 
 asio::awaitable<void> AsyncHttpConnection::TimeoutLoop() {
-  asio::steady_timer timer(m_strand);
   while (!m_closed) {
     const auto due = NextTimeout();
     if (due && SteadyClock::now() >= *due) {
@@ -288,19 +301,38 @@
       RejectInput(kRequestTimeout);
     }
     const auto pause = ToChrono(m_limits.header_timeout);
-    timer.expires_at(due ? std::max(*due, SteadyClock::now())
-                         : SteadyClock::now() + pause);
+    m_timeout.expires_at(due ? std::max(*due, SteadyClock::now())
+                             : SteadyClock::now() + pause);
     error_code ignored;
-    co_await timer.async_wait(
+    co_await m_timeout.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
   }
 }
 
+void AsyncHttpConnection::FinishAndClose() {
+  if (m_finishing || m_closed) {
+    return;
+  }
+  m_finishing = true;
+  ++m_server->m_lingering_connections;
+  m_last_request = true;
+  m_partial = false;
+  m_continue_wanted = false;
+  m_buffer.clear();
+  error_code ignored;
+  m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  m_timeout.cancel();
+  Wake();
+}
+
 void AsyncHttpConnection::Close() {
   if (m_closed) {
     return;
   }
   m_closed = true;
+  if (m_finishing) {
+    --m_server->m_lingering_connections;
+  }
   error_code ignored;
   m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
   m_socket.close(ignored);
@@ -310,6 +342,7 @@
   }
   m_exchanges.clear();
   m_server->RemoveConnection(this);
+  m_timeout.cancel();
   Wake();
 }
 
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -181,6 +181,7 @@
     m_caller_server->Stop();
     // Responses that were handed to links are written meanwhile.
     co_await Sleep(kStopCheckInterval);
+    co_await WaitUntilDelivered(schedule.Begin(StopPhase::kOver));
     m_runtime.Stop();
   }
 
@@ -191,6 +192,14 @@
     }
   }
 
+  // Waits until callers had time to read their responses, until `end` at most.
+  asio::awaitable<void> WaitUntilDelivered(TimePoint end) {
+    while (m_caller_server->lingering_connections() > 0 &&
+           m_clock.Now() < end) {
+      co_await Sleep(std::min(kStopCheckInterval, end - m_clock.Now()));
+    }
+  }
+
   asio::awaitable<void> SleepUntil(TimePoint time) {
     return Sleep(time - m_clock.Now());
   }
