Wait in one function for what a planned stop has still open

Cause: two loops of the planned stop were the same but for what they counted (open requests; connections whose last response is on its way). Change: WaitUntilNone() takes the count as a member function. Behaviour is unchanged.

--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -157,6 +157,11 @@
            m_backend_proxy.open_requests();
   }
 
+  // Number of connections whose callers may not have read all responses yet.
+  size_t LingeringConnections() const {
+    return m_caller_server->lingering_connections();
+  }
+
   asio::awaitable<void> ShutDownGracefully() {
     LogEvent(LogLevel::kInfo, "stopping",
              {{"open", std::to_string(OpenRequests())}});
@@ -169,33 +174,30 @@
     co_await SleepUntil(schedule.Begin(StopPhase::kClosed));
     m_outbound_proxy.EnterPhase(StopPhase::kClosed);
     m_caller_server->CloseToOtherHosts();
-    co_await WaitUntilDone(schedule.Begin(StopPhase::kFinishing));
+    co_await WaitUntilNone(&MeshNode::OpenRequests,
+                           schedule.Begin(StopPhase::kFinishing));
     m_outbound_proxy.EnterPhase(StopPhase::kFinishing);
     m_links.CancelQueuedHopRequests();
-    co_await WaitUntilDone(schedule.Begin(StopPhase::kAnswering));
+    co_await WaitUntilNone(&MeshNode::OpenRequests,
+                           schedule.Begin(StopPhase::kAnswering));
     m_outbound_proxy.EnterPhase(StopPhase::kAnswering);
     m_cut_off = OpenRequests();
     m_caller_server->CancelOpenRequests();
     m_hop_server.CancelOpenRequests();
-    co_await WaitUntilDone(schedule.Begin(StopPhase::kOver));
+    co_await WaitUntilNone(&MeshNode::OpenRequests,
+                           schedule.Begin(StopPhase::kOver));
     m_caller_server->Stop();
     // Responses that were handed to links are written meanwhile.
     co_await Sleep(kStopCheckInterval);
-    co_await WaitUntilDelivered(schedule.Begin(StopPhase::kOver));
+    co_await WaitUntilNone(&MeshNode::LingeringConnections,
+                           schedule.Begin(StopPhase::kOver));
     m_runtime.Stop();
   }
 
-  // Waits until no request is open, until `end` at most.
-  asio::awaitable<void> WaitUntilDone(TimePoint end) {
-    while (OpenRequests() > 0 && m_clock.Now() < end) {
-      co_await Sleep(std::min(kStopCheckInterval, end - m_clock.Now()));
-    }
-  }
-
-  // Waits until callers had time to read their responses, until `end` at most.
-  asio::awaitable<void> WaitUntilDelivered(TimePoint end) {
-    while (m_caller_server->lingering_connections() > 0 &&
-           m_clock.Now() < end) {
+  // Waits until `count` returns 0, until `end` at most.
+  asio::awaitable<void> WaitUntilNone(size_t (MeshNode::*count)() const,
+                                      TimePoint end) {
+    while ((this->*count)() > 0 && m_clock.Now() < end) {
       co_await Sleep(std::min(kStopCheckInterval, end - m_clock.Now()));
     }
   }
