Measure the load of backend servers at their nodes

The leader needs the load of each backend server to correct its share of the calls, without more queries to the server. All calls of a server pass through BackendProxy, so it integrates the numbers of running and waiting calls over time and counts how calls ended; each poll carries the means since the last one as PollRequest.load. Calls whose caller has gone are not counted as ended.

unit-load-meter and unit-backend-presence pass.

--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -13,6 +13,7 @@
 #include "rosemarywinch/adapters/async/one_shot.h"
 #include "rosemarywinch/decisions/mesh/backend_presence.h"
 #include "rosemarywinch/decisions/traffic/admission_queue.h"
+#include "rosemarywinch/decisions/traffic/load_meter.h"
 #include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/interfaces/mesh_protocol.h"
 
@@ -73,6 +74,10 @@
 
   size_t open_requests() const;
 
+  /// Returns the load of the backend server since the last call; nothing
+  /// without a backend server or if no time has passed.
+  std::optional<BackendLoad> TakeLoad();
+
   /// Sets the source of the pressure on the services that the backend server
   /// calls.
   void SetPressureSource(std::function<std::vector<ServicePressure>()> source) {
@@ -113,6 +118,7 @@
   void RefuseWaiting(ErrorId reason);
   void FinishRequest(const CallSample& sample);
   void NotifyWaiters(const std::vector<Admission>& admissions);
+  void MeasureEnd(const HopResponse& response);
   void AddLoad(HopResponse& response) const;
   double QueuePressure() const;
   void ReportStateChange(const char* cause);
@@ -129,6 +135,7 @@
   std::string m_reported_state;
   bool m_stopping = false;
   AdmissionQueue m_queue;
+  LoadMeter m_load;
   uint64_t m_next_ticket = 0;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
   std::vector<StoreWaiter> m_store_waiters;
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -18,6 +18,7 @@
 // Queue wait at which the pressure is 1. Kept short because a request may wait
 // this long at each of several sequential calls.
 constexpr double kTargetQueueWaitMs = 40;
+constexpr uint32_t kFirstServerError = 500;
 
 HopResponse NotRun(ErrorId reason) {
   HopResponse response;
@@ -78,6 +79,9 @@
   if (before && after && before->id != after->id) {
     m_channel.CloseIdle();
   }
+  if (after && (!before || before->id != after->id)) {
+    m_load.Restart(now);
+  }
   if (after && after->state == BackendState::kLeaving) {
     RefuseWaiting(ErrorId::kNoBackend);
   }
@@ -205,6 +209,9 @@
     FinishRequest({static_cast<double>(took.ms),
                    response.outcome != HopOutcome::kAnswered});
   }
+  if (!signals.cancelled->cancelled()) {
+    MeasureEnd(response);
+  }
   AddLoad(response);
   co_return response;
 }
@@ -241,6 +248,7 @@
   }
   std::scoped_lock lock(m_mutex);
   m_queue.Cancel(id);
+  m_load.OnCalls(m_clock.Now(), m_queue.in_flight(), m_queue.waiting());
   // The request may have been admitted between the end of the wait and the
   // lock.
   if (m_waiters.erase(id) == 0 && !verdict) {
@@ -324,8 +332,9 @@
   NotifyWaiters(m_queue.Finish(m_clock.Now(), sample));
 }
 
-// Requires m_mutex to be held.
+// Requires m_mutex to be held. Follows every change of the queue.
 void BackendProxy::NotifyWaiters(const std::vector<Admission>& admissions) {
+  m_load.OnCalls(m_clock.Now(), m_queue.in_flight(), m_queue.waiting());
   for (const Admission& admission : admissions) {
     const auto found = m_waiters.find(admission.ticket);
     if (found != m_waiters.end() && admission.verdict != Verdict::kWait) {
@@ -335,6 +344,27 @@
   }
 }
 
+void BackendProxy::MeasureEnd(const HopResponse& response) {
+  CallEnd end = CallEnd::kFailed;
+  if (response.outcome == HopOutcome::kNotRun) {
+    end = CallEnd::kRefused;
+  } else if (response.outcome == HopOutcome::kAnswered &&
+             response.status < kFirstServerError) {
+    end = CallEnd::kCompleted;
+  }
+  std::scoped_lock lock(m_mutex);
+  m_load.OnEnd(end);
+}
+
+std::optional<BackendLoad> BackendProxy::TakeLoad() {
+  std::scoped_lock lock(m_mutex);
+  const TimePoint now = m_clock.Now();
+  if (!m_presence.Current(now)) {
+    return std::nullopt;
+  }
+  return m_load.Take(now, m_queue.limit());
+}
+
 double BackendProxy::Pressure() const {
   const double below = MaxPressure(m_pressure_source());
   std::scoped_lock lock(m_mutex);
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -215,6 +215,7 @@
     request.member.state = backend->state;
     request.member.slots = backend->slots;
     request.pressure = m_backend_proxy.Pressure();
+    request.load = m_backend_proxy.TakeLoad();
   }
   request.departures = m_backend_proxy.UnstoredDepartures();
   request.wants_departures = !m_backend_proxy.DeparturesRestored();
