Check a configuration before it is sent

Cause: the operators wish for a tool that tells errors, entries that can never match, limits that contradict each other, and what differs from the version in force; control refuses a configuration at its first error and accepts the rest. Exit code 1 if control would refuse it.

--- a/src/programs/main.cc
+++ b/src/programs/main.cc
@@ -9,6 +9,7 @@
 #include "platform/wire_protocol.h"
 #include "rosemarywinch/adapters/curl_channel.h"
 #include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/programs/config_check_command.h"
 #include "rosemarywinch/programs/mesh/mesh_programs.h"
 #include "rosemarywinch/programs/operator_commands.h"
 #include "rosemarywinch/programs/servers.h"
@@ -220,6 +221,26 @@
       return RunMeshControl(m_common, m_mesh_control, {control.reader->file()},
                             m_protocol);
     };
+    AddConfigCheck(mesh);
+  }
+
+  void AddConfigCheck(CLI::App* mesh) {
+    Subcommand& check = AddSubcommand(mesh->add_subcommand(
+        "check",
+        "check a configuration before it is sent, and exit with 1 if "
+        "control would refuse it"));
+    check.app->add_option("file", m_config_check.file, "configuration, as JSON")
+        ->required();
+    check.app->add_option("--in-force", m_config_check.in_force_file,
+                          "file with the version in force");
+    check.app->add_option("--operator-address", m_config_check.operator_address,
+                          "HOST:PORT of a control replica, to read the version "
+                          "in force from");
+    check.app->add_flag("--json", m_config_check.json, "print one JSON object");
+    check.run = [this] {
+      CurlChannel channel;
+      return RunConfigCheck(m_config_check, channel);
+    };
   }
 
   CLI::App m_app;
@@ -229,6 +250,7 @@
   NodeSettings m_node;
   OperatorSettings m_operator;
   RequestExplain m_explain;
+  ConfigCheckOptions m_config_check;
   MeshNodeSettings m_mesh_node;
   MeshControlSettings m_mesh_control;
   WireProtocol m_protocol;
