--- a/src/programs/config_check_command.cc
+++ b/src/programs/config_check_command.cc
@@ -78,6 +78,22 @@
             << report.differences.size() << " differences\n";
 }
 
+// Both lists are always there, and kinds are written by name.
+void PrintJson(const ConfigReport& report) {
+  Json json = {{"findings", Json::array()}, {"differences", Json::array()}};
+  for (const ConfigFinding& finding : report.findings) {
+    Json entry = ToJson(finding);
+    entry["kind"] = NameOf(finding.kind);
+    json["findings"].push_back(std::move(entry));
+  }
+  for (const ConfigDifference& difference : report.differences) {
+    Json entry = ToJson(difference);
+    entry["kind"] = NameOf(difference.kind);
+    json["differences"].push_back(std::move(entry));
+  }
+  std::cout << WriteJson(json) << "\n";
+}
+
 }  // namespace
 
 Result<ExitCode> RunConfigCheck(const ConfigCheckOptions& options,
@@ -98,7 +114,7 @@
   const ConfigReport report =
       CheckConfiguration(candidate, in_force ? &*in_force : nullptr);
   if (options.json) {
-    std::cout << WriteJson(ToJson(report)) << "\n";
+    PrintJson(report);
   } else {
     PrintLines(report);
   }
