--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -59,7 +59,7 @@
 
 void BM_EncodePoll(benchmark::State& run) {
   PollRequest poll;
-  poll.protocol_version = 1;
+  poll.protocol_version = 2;
   poll.cluster = "0123456789abcdef";
   poll.node = "0123456789abcdef";
   poll.config_version = 12345;
--- a/gen/rosemarywinch/schema/admission.h
+++ b/gen/rosemarywinch/schema/admission.h
@@ -24,8 +24,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kAccountDemandFields{{
-    {"account", "", 0, 0, "", "", "", {}},
-    {"offered_rate", "", 0, 0, "", "", "", {}},
+    {"account", "", 0, 0, "", "", "", {}, 1, {}},
+    {"offered_rate", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -56,11 +56,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kEntryDemandFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"priority", "", 0, 0, "", "", "", {}},
-    {"offered_rate", "", 0, 0, "", "", "", {}},
-    {"admitted_rate", "", 0, 0, "", "", "", {}},
-    {"accounts", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"priority", "", 0, 0, "", "", "", {}, 2, {}},
+    {"offered_rate", "", 0, 0, "", "", "", {}, 3, {}},
+    {"admitted_rate", "", 0, 0, "", "", "", {}, 4, {}},
+    {"accounts", "", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -94,8 +94,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kEntryUsageFields{{
-    {"entry_service", "", 0, 0, "", "", "", {}},
-    {"slots", "", 0, 0, "", "", "", {}},
+    {"entry_service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"slots", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -123,8 +123,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kAccountAdmissionFields{{
-    {"account", "", 0, 0, "", "", "", {}},
-    {"fraction", "", 0, 0, "", "", "", {}},
+    {"account", "", 0, 0, "", "", "", {}, 1, {}},
+    {"fraction", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -155,11 +155,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kEntryAdmissionFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"priority", "", 0, 0, "", "", "", {}},
-    {"fraction", "", 0, 0, "", "", "", {}},
-    {"accounts", "", 0, 0, "", "", "", {}},
-    {"bottleneck", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"priority", "", 0, 0, "", "", "", {}, 2, {}},
+    {"fraction", "", 0, 0, "", "", "", {}, 3, {}},
+    {"accounts", "", 0, 0, "", "", "", {}, 4, {}},
+    {"bottleneck", "", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -193,8 +193,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kAdmissionPlanFields{{
-    {"revision", "", 0, 0, "", "", "", {}},
-    {"entries", "", 0, 0, "", "", "", {}},
+    {"revision", "", 0, 0, "", "", "", {}, 1, {}},
+    {"entries", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/balance.h
+++ b/gen/rosemarywinch/schema/balance.h
@@ -28,12 +28,12 @@
 };
 
 inline constexpr std::array<FieldInfo, 6> kBackendLoadFields{{
-    {"usable_slots", "", 0, 0, "", "", "", {}},
-    {"busy", "", 0, 0, "", "", "", {}},
-    {"waiting", "", 0, 0, "", "", "", {}},
-    {"completed_rate", "", 0, 0, "", "", "", {}},
-    {"refused_rate", "", 0, 0, "", "", "", {}},
-    {"failed_rate", "", 0, 0, "", "", "", {}},
+    {"usable_slots", "", 0, 0, "", "", "", {}, 1, {}},
+    {"busy", "", 0, 0, "", "", "", {}, 2, {}},
+    {"waiting", "", 0, 0, "", "", "", {}, 3, {}},
+    {"completed_rate", "", 0, 0, "", "", "", {}, 4, {}},
+    {"refused_rate", "", 0, 0, "", "", "", {}, 5, {}},
+    {"failed_rate", "", 0, 0, "", "", "", {}, 6, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -69,8 +69,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kMemberWeightFields{{
-    {"node", "", 0, 0, "", "", "", {}},
-    {"weight", "", 0, 0, "", "", "", {}},
+    {"node", "", 0, 0, "", "", "", {}, 1, {}},
+    {"weight", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -99,9 +99,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kDataCentreShareFields{{
-    {"data_centre", "", 0, 0, "", "", "", {}},
-    {"local_fraction", "", 0, 0, "", "", "", {}},
-    {"inbound_weight", "", 0, 0, "", "", "", {}},
+    {"data_centre", "", 0, 0, "", "", "", {}, 1, {}},
+    {"local_fraction", "", 0, 0, "", "", "", {}, 2, {}},
+    {"inbound_weight", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -133,10 +133,10 @@
 };
 
 inline constexpr std::array<FieldInfo, 4> kServiceBalanceFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"revision", "", 0, 0, "", "", "", {}},
-    {"weights", "", 0, 0, "", "", "", {}},
-    {"data_centres", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"revision", "", 0, 0, "", "", "", {}, 2, {}},
+    {"weights", "", 0, 0, "", "", "", {}, 3, {}},
+    {"data_centres", "", 0, 0, "", "", "", {}, 4, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -168,8 +168,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kBalanceCursorFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"revision", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"revision", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/consensus.h
+++ b/gen/rosemarywinch/schema/consensus.h
@@ -25,8 +25,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kReplicaRefFields{{
-    {"replica_id", "", 0, 0, "", "", "", {}},
-    {"instance", "", 0, 0, "", "", "", {}},
+    {"replica_id", "", 0, 0, "", "", "", {}, 1, {}},
+    {"instance", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -70,7 +70,7 @@
 };
 
 inline constexpr std::array<FieldInfo, 1> kVoterChangeFields{{
-    {"voters", "", 0, 0, "", "", "", {}},
+    {"voters", "", 0, 0, "", "", "", {}, 1, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -99,10 +99,13 @@
 inline constexpr std::array<std::string_view, 4> kLogEntryPayloadNames{
     "none", "noop", "voter_change", "command"};
 
+inline constexpr std::array<uint32_t, 4> kLogEntryPayloadNumbers{0, 3, 4, 5};
+
 inline constexpr std::array<FieldInfo, 3> kLogEntryFields{{
-    {"index", "", 0, 0, "", "", "", {}},
-    {"term", "", 0, 0, "", "", "", {}},
-    {"payload", "", 0, 0, "", "", "", kLogEntryPayloadNames},
+    {"index", "", 0, 0, "", "", "", {}, 1, {}},
+    {"term", "", 0, 0, "", "", "", {}, 2, {}},
+    {"payload", "", 0, 0, "", "", "", kLogEntryPayloadNames, 0,
+     kLogEntryPayloadNumbers},
 }};
 
 template <typename Self, typename Visitor>
@@ -134,10 +137,10 @@
 };
 
 inline constexpr std::array<FieldInfo, 4> kHardStateFields{{
-    {"term", "", 0, 0, "", "", "", {}},
-    {"voted_for", "", 0, 0, "", "", "", {}},
-    {"cluster", "", 0, 0, "", "", "", {}},
-    {"self", "", 0, 0, "", "", "", {}},
+    {"term", "", 0, 0, "", "", "", {}, 1, {}},
+    {"voted_for", "", 0, 0, "", "", "", {}, 2, {}},
+    {"cluster", "", 0, 0, "", "", "", {}, 3, {}},
+    {"self", "", 0, 0, "", "", "", {}, 4, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -171,10 +174,10 @@
 };
 
 inline constexpr std::array<FieldInfo, 4> kSnapshotFields{{
-    {"last_index", "", 0, 0, "", "", "", {}},
-    {"last_term", "", 0, 0, "", "", "", {}},
-    {"voters", "", 0, 0, "", "", "", {}},
-    {"state", "", 0, 0, "", "", "", {}},
+    {"last_index", "", 0, 0, "", "", "", {}, 1, {}},
+    {"last_term", "", 0, 0, "", "", "", {}, 2, {}},
+    {"voters", "", 0, 0, "", "", "", {}, 3, {}},
+    {"state", "", 0, 0, "", "", "", {}, 4, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -207,9 +210,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kVoteRequestFields{{
-    {"pre_vote", "", 0, 0, "", "", "", {}},
-    {"last_index", "", 0, 0, "", "", "", {}},
-    {"last_term", "", 0, 0, "", "", "", {}},
+    {"pre_vote", "", 0, 0, "", "", "", {}, 1, {}},
+    {"last_index", "", 0, 0, "", "", "", {}, 2, {}},
+    {"last_term", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -239,8 +242,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kVoteResponseFields{{
-    {"pre_vote", "", 0, 0, "", "", "", {}},
-    {"granted", "", 0, 0, "", "", "", {}},
+    {"pre_vote", "", 0, 0, "", "", "", {}, 1, {}},
+    {"granted", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -271,11 +274,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kAppendRequestFields{{
-    {"previous_index", "", 0, 0, "", "", "", {}},
-    {"previous_term", "", 0, 0, "", "", "", {}},
-    {"entries", "", 0, 0, "", "", "", {}},
-    {"commit_index", "", 0, 0, "", "", "", {}},
-    {"round", "", 0, 0, "", "", "", {}},
+    {"previous_index", "", 0, 0, "", "", "", {}, 1, {}},
+    {"previous_term", "", 0, 0, "", "", "", {}, 2, {}},
+    {"entries", "", 0, 0, "", "", "", {}, 3, {}},
+    {"commit_index", "", 0, 0, "", "", "", {}, 4, {}},
+    {"round", "", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -310,9 +313,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kAppendResponseFields{{
-    {"success", "", 0, 0, "", "", "", {}},
-    {"match_index", "", 0, 0, "", "", "", {}},
-    {"round", "", 0, 0, "", "", "", {}},
+    {"success", "", 0, 0, "", "", "", {}, 1, {}},
+    {"match_index", "", 0, 0, "", "", "", {}, 2, {}},
+    {"round", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -342,8 +345,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kSnapshotRequestFields{{
-    {"snapshot", "", 0, 0, "", "", "", {}},
-    {"round", "", 0, 0, "", "", "", {}},
+    {"snapshot", "", 0, 0, "", "", "", {}, 1, {}},
+    {"round", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -370,7 +373,7 @@
 };
 
 inline constexpr std::array<FieldInfo, 1> kJoinRequestFields{{
-    {"empty", "", 0, 0, "", "", "", {}},
+    {"empty", "", 0, 0, "", "", "", {}, 1, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -397,9 +400,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kJoinResponseFields{{
-    {"empty", "", 0, 0, "", "", "", {}},
-    {"to_instance", "", 0, 0, "", "", "", {}},
-    {"leader_id", "", 0, 0, "", "", "", {}},
+    {"empty", "", 0, 0, "", "", "", {}, 1, {}},
+    {"to_instance", "", 0, 0, "", "", "", {}, 2, {}},
+    {"leader_id", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -445,13 +448,17 @@
     "append_request", "append_response", "snapshot_request",
     "join_request",   "join_response"};
 
+inline constexpr std::array<uint32_t, 8> kPeerMessageBodyNumbers{0, 6,  7,  8,
+                                                                 9, 10, 11, 12};
+
 inline constexpr std::array<FieldInfo, 6> kPeerMessageFields{{
-    {"protocol_version", "", 0, 0, "", "", "", {}},
-    {"cluster", "", 0, 0, "", "", "", {}},
-    {"from", "", 0, 0, "", "", "", {}},
-    {"to_replica", "", 0, 0, "", "", "", {}},
-    {"term", "", 0, 0, "", "", "", {}},
-    {"body", "", 0, 0, "", "", "", kPeerMessageBodyNames},
+    {"protocol_version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"cluster", "", 0, 0, "", "", "", {}, 2, {}},
+    {"from", "", 0, 0, "", "", "", {}, 3, {}},
+    {"to_replica", "", 0, 0, "", "", "", {}, 4, {}},
+    {"term", "", 0, 0, "", "", "", {}, 5, {}},
+    {"body", "", 0, 0, "", "", "", kPeerMessageBodyNames, 0,
+     kPeerMessageBodyNumbers},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/control.h
+++ b/gen/rosemarywinch/schema/control.h
@@ -30,8 +30,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kPackedDocumentFields{{
-    {"reference_version", "", 0, 0, "", "", "", {}},
-    {"data", "", 0, 0, "", "", "", {}},
+    {"reference_version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"data", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -60,8 +60,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kFleetPressureFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"pressure", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"pressure", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -108,27 +108,27 @@
 };
 
 inline constexpr std::array<FieldInfo, 21> kPollRequestFields{{
-    {"protocol_version", "", 0, 0, "", "", "", {}},
-    {"cluster", "", 0, 0, "", "", "", {}},
-    {"node", "", 0, 0, "", "", "", {}},
-    {"term", "", 0, 0, "", "", "", {}},
-    {"config_version", "", 0, 0, "", "", "", {}},
-    {"sequence", "", 0, 0, "", "", "", {}},
-    {"leaving", "", 0, 0, "", "", "", {}},
-    {"member", "", 0, 0, "", "", "", {}},
-    {"services", "", 0, 0, "", "", "", {}},
-    {"allowances", "", 0, 0, "", "", "", {}},
-    {"configuration_version", "", 0, 0, "", "", "", {}},
-    {"quotas", "", 0, 0, "", "", "", {}},
-    {"tokens_only", "", 0, 0, "", "", "", {}},
-    {"pressure", "", 0, 0, "", "", "", {}},
-    {"departures", "", 0, 0, "", "", "", {}},
-    {"wants_departures", "", 0, 0, "", "", "", {}},
-    {"load", "", 0, 0, "", "", "", {}},
-    {"balances", "", 0, 0, "", "", "", {}},
-    {"demand", "", 0, 0, "", "", "", {}},
-    {"usage", "", 0, 0, "", "", "", {}},
-    {"admission_revision", "", 0, 0, "", "", "", {}},
+    {"protocol_version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"cluster", "", 0, 0, "", "", "", {}, 2, {}},
+    {"node", "", 0, 0, "", "", "", {}, 3, {}},
+    {"term", "", 0, 0, "", "", "", {}, 4, {}},
+    {"config_version", "", 0, 0, "", "", "", {}, 5, {}},
+    {"sequence", "", 0, 0, "", "", "", {}, 6, {}},
+    {"leaving", "", 0, 0, "", "", "", {}, 7, {}},
+    {"member", "", 0, 0, "", "", "", {}, 8, {}},
+    {"services", "", 0, 0, "", "", "", {}, 9, {}},
+    {"allowances", "", 0, 0, "", "", "", {}, 10, {}},
+    {"configuration_version", "", 0, 0, "", "", "", {}, 11, {}},
+    {"quotas", "", 0, 0, "", "", "", {}, 12, {}},
+    {"tokens_only", "", 0, 0, "", "", "", {}, 13, {}},
+    {"pressure", "", 0, 0, "", "", "", {}, 14, {}},
+    {"departures", "", 0, 0, "", "", "", {}, 15, {}},
+    {"wants_departures", "", 0, 0, "", "", "", {}, 16, {}},
+    {"load", "", 0, 0, "", "", "", {}, 17, {}},
+    {"balances", "", 0, 0, "", "", "", {}, 18, {}},
+    {"demand", "", 0, 0, "", "", "", {}, 19, {}},
+    {"usage", "", 0, 0, "", "", "", {}, 20, {}},
+    {"admission_revision", "", 0, 0, "", "", "", {}, 21, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -216,28 +216,28 @@
 };
 
 inline constexpr std::array<FieldInfo, 22> kPollResponseFields{{
-    {"cluster", "", 0, 0, "", "", "", {}},
-    {"term", "", 0, 0, "", "", "", {}},
-    {"sequence", "", 0, 0, "", "", "", {}},
-    {"lease", "ms", 0, 0, "", "", "", {}},
-    {"config_version", "", 0, 0, "", "", "", {}},
-    {"commands", "", 0, 0, "", "", "", {}},
-    {"state", "", 0, 0, "", "", "", {}},
-    {"services", "", 0, 0, "", "", "", {}},
-    {"allowances", "", 0, 0, "", "", "", {}},
-    {"configuration_version", "", 0, 0, "", "", "", {}},
-    {"configuration", "", 0, 0, "", "", "", {}},
-    {"replicas", "", 0, 0, "", "", "", {}},
-    {"quotas", "", 0, 0, "", "", "", {}},
-    {"pressures_known", "", 0, 0, "", "", "", {}},
-    {"pressures", "", 0, 0, "", "", "", {}},
-    {"departures_known", "", 0, 0, "", "", "", {}},
-    {"departures", "", 0, 0, "", "", "", {}},
-    {"evacuated", "", 0, 0, "", "", "", {}},
-    {"balances", "", 0, 0, "", "", "", {}},
-    {"admission_known", "", 0, 0, "", "", "", {}},
-    {"admission", "", 0, 0, "", "", "", {}},
-    {"admission_revision", "", 0, 0, "", "", "", {}},
+    {"cluster", "", 0, 0, "", "", "", {}, 1, {}},
+    {"term", "", 0, 0, "", "", "", {}, 2, {}},
+    {"sequence", "", 0, 0, "", "", "", {}, 3, {}},
+    {"lease", "ms", 0, 0, "", "", "", {}, 4, {}},
+    {"config_version", "", 0, 0, "", "", "", {}, 5, {}},
+    {"commands", "", 0, 0, "", "", "", {}, 6, {}},
+    {"state", "", 0, 0, "", "", "", {}, 7, {}},
+    {"services", "", 0, 0, "", "", "", {}, 8, {}},
+    {"allowances", "", 0, 0, "", "", "", {}, 9, {}},
+    {"configuration_version", "", 0, 0, "", "", "", {}, 10, {}},
+    {"configuration", "", 0, 0, "", "", "", {}, 11, {}},
+    {"replicas", "", 0, 0, "", "", "", {}, 12, {}},
+    {"quotas", "", 0, 0, "", "", "", {}, 13, {}},
+    {"pressures_known", "", 0, 0, "", "", "", {}, 14, {}},
+    {"pressures", "", 0, 0, "", "", "", {}, 15, {}},
+    {"departures_known", "", 0, 0, "", "", "", {}, 16, {}},
+    {"departures", "", 0, 0, "", "", "", {}, 17, {}},
+    {"evacuated", "", 0, 0, "", "", "", {}, 18, {}},
+    {"balances", "", 0, 0, "", "", "", {}, 19, {}},
+    {"admission_known", "", 0, 0, "", "", "", {}, 20, {}},
+    {"admission", "", 0, 0, "", "", "", {}, 21, {}},
+    {"admission_revision", "", 0, 0, "", "", "", {}, 22, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -308,9 +308,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kPollReplyFields{{
-    {"response", "", 0, 0, "", "", "", {}},
-    {"error", "", 0, 0, "", "", "", {}},
-    {"detail", "", 0, 0, "", "", "", {}},
+    {"response", "", 0, 0, "", "", "", {}, 1, {}},
+    {"error", "", 0, 0, "", "", "", {}, 2, {}},
+    {"detail", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -341,9 +341,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kCommandRequestFields{{
-    {"protocol_version", "", 0, 0, "", "", "", {}},
-    {"command", "", 0, 0, "", "", "", {}},
-    {"wait", "ms", 0, 0, "", "", "", {}},
+    {"protocol_version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"command", "", 0, 0, "", "", "", {}, 2, {}},
+    {"wait", "ms", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -375,9 +375,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kCommandResponseFields{{
-    {"result", "", 0, 0, "", "", "", {}},
-    {"in_force", "", 0, 0, "", "", "", {}},
-    {"pending_nodes", "", 0, 0, "", "", "", {}},
+    {"result", "", 0, 0, "", "", "", {}, 1, {}},
+    {"in_force", "", 0, 0, "", "", "", {}, 2, {}},
+    {"pending_nodes", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -406,7 +406,7 @@
 };
 
 inline constexpr std::array<FieldInfo, 1> kStateRequestFields{{
-    {"protocol_version", "", 0, 0, "", "", "", {}},
+    {"protocol_version", "", 0, 0, "", "", "", {}, 1, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -431,7 +431,7 @@
 };
 
 inline constexpr std::array<FieldInfo, 1> kStateResponseFields{{
-    {"state", "", 0, 0, "", "", "", {}},
+    {"state", "", 0, 0, "", "", "", {}, 1, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -487,20 +487,20 @@
 };
 
 inline constexpr std::array<FieldInfo, 14> kControlStatusFields{{
-    {"replica_id", "", 0, 0, "", "", "", {}},
-    {"instance", "", 0, 0, "", "", "", {}},
-    {"cluster", "", 0, 0, "", "", "", {}},
-    {"leader", "", 0, 0, "", "", "", {}},
-    {"leader_id", "", 0, 0, "", "", "", {}},
-    {"term", "", 0, 0, "", "", "", {}},
-    {"last_index", "", 0, 0, "", "", "", {}},
-    {"commit_index", "", 0, 0, "", "", "", {}},
-    {"snapshot_index", "", 0, 0, "", "", "", {}},
-    {"version", "", 0, 0, "", "", "", {}},
-    {"in_force_version", "", 0, 0, "", "", "", {}},
-    {"voters", "", 0, 0, "", "", "", {}},
-    {"voter", "", 0, 0, "", "", "", {}},
-    {"members", "", 0, 0, "", "", "", {}},
+    {"replica_id", "", 0, 0, "", "", "", {}, 1, {}},
+    {"instance", "", 0, 0, "", "", "", {}, 2, {}},
+    {"cluster", "", 0, 0, "", "", "", {}, 3, {}},
+    {"leader", "", 0, 0, "", "", "", {}, 4, {}},
+    {"leader_id", "", 0, 0, "", "", "", {}, 5, {}},
+    {"term", "", 0, 0, "", "", "", {}, 6, {}},
+    {"last_index", "", 0, 0, "", "", "", {}, 7, {}},
+    {"commit_index", "", 0, 0, "", "", "", {}, 8, {}},
+    {"snapshot_index", "", 0, 0, "", "", "", {}, 9, {}},
+    {"version", "", 0, 0, "", "", "", {}, 10, {}},
+    {"in_force_version", "", 0, 0, "", "", "", {}, 11, {}},
+    {"voters", "", 0, 0, "", "", "", {}, 12, {}},
+    {"voter", "", 0, 0, "", "", "", {}, 13, {}},
+    {"members", "", 0, 0, "", "", "", {}, 14, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/fleet.h
+++ b/gen/rosemarywinch/schema/fleet.h
@@ -28,10 +28,10 @@
 };
 
 inline constexpr std::array<FieldInfo, 4> kEditFields{{
-    {"path", "", 0, 0, "", "", "", {}},
-    {"field", "", 0, 0, "", "", "", {}},
-    {"value", "", 0, 0, "", "", "", {}},
-    {"clear", "", 0, 0, "", "", "", {}},
+    {"path", "", 0, 0, "", "", "", {}, 1, {}},
+    {"field", "", 0, 0, "", "", "", {}, 2, {}},
+    {"value", "", 0, 0, "", "", "", {}, 3, {}},
+    {"clear", "", 0, 0, "", "", "", {}, 4, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -63,8 +63,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kChangeTreeFields{{
-    {"expected_version", "", 0, 0, "", "", "", {}},
-    {"edits", "", 0, 0, "", "", "", {}},
+    {"expected_version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"edits", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -93,9 +93,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kGiveKeyFields{{
-    {"account", "", 0, 0, "", "", "", {}},
-    {"key_id", "", 0, 0, "", "", "", {}},
-    {"secret_hash", "", 0, 0, "", "", "", {}},
+    {"account", "", 0, 0, "", "", "", {}, 1, {}},
+    {"key_id", "", 0, 0, "", "", "", {}, 2, {}},
+    {"secret_hash", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -124,7 +124,7 @@
 };
 
 inline constexpr std::array<FieldInfo, 1> kWithdrawKeyFields{{
-    {"key_id", "", 0, 0, "", "", "", {}},
+    {"key_id", "", 0, 0, "", "", "", {}, 1, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -152,10 +152,10 @@
 };
 
 inline constexpr std::array<FieldInfo, 4> kPutConfigurationFields{{
-    {"version", "", 0, 0, "", "", "", {}},
-    {"base_version", "", 0, 0, "", "", "", {}},
-    {"document", "", 0, 0, "", "", "", {}},
-    {"fingerprint", "", 0, 0, "", "", "", {}},
+    {"version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"base_version", "", 0, 0, "", "", "", {}, 2, {}},
+    {"document", "", 0, 0, "", "", "", {}, 3, {}},
+    {"fingerprint", "", 0, 0, "", "", "", {}, 4, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -187,8 +187,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kDepartureFields{{
-    {"backend_id", "", 0, 0, "", "", "", {}},
-    {"born", "ms", 0, 0, "", "", "", {}},
+    {"backend_id", "", 0, 0, "", "", "", {}, 1, {}},
+    {"born", "ms", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -216,8 +216,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kRecordDepartureFields{{
-    {"node", "", 0, 0, "", "", "", {}},
-    {"departure", "", 0, 0, "", "", "", {}},
+    {"node", "", 0, 0, "", "", "", {}, 1, {}},
+    {"departure", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -245,8 +245,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kNodeDeparturesFields{{
-    {"departures", "", 0, 0, "", "", "", {}},
-    {"order", "", 0, 0, "", "", "", {}},
+    {"departures", "", 0, 0, "", "", "", {}, 1, {}},
+    {"order", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -273,7 +273,7 @@
 };
 
 inline constexpr std::array<FieldInfo, 1> kStartEvacuationFields{{
-    {"data_centre", "", 0, 0, "", "", "", {}},
+    {"data_centre", "", 0, 0, "", "", "", {}, 1, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -298,7 +298,7 @@
 };
 
 inline constexpr std::array<FieldInfo, 1> kEndEvacuationFields{{
-    {"data_centre", "", 0, 0, "", "", "", {}},
+    {"data_centre", "", 0, 0, "", "", "", {}, 1, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -343,11 +343,15 @@
     "start_evacuation",
     "end_evacuation"};
 
+inline constexpr std::array<uint32_t, 8> kFleetCommandChangeNumbers{
+    0, 4, 5, 6, 7, 8, 9, 10};
+
 inline constexpr std::array<FieldInfo, 4> kFleetCommandFields{{
-    {"operation_id", "", 0, 0, "", "", "", {}},
-    {"author", "", 0, 0, "", "", "", {}},
-    {"unix_time", "ms", 0, 0, "", "", "", {}},
-    {"change", "", 0, 0, "", "", "", kFleetCommandChangeNames},
+    {"operation_id", "", 0, 0, "", "", "", {}, 1, {}},
+    {"author", "", 0, 0, "", "", "", {}, 2, {}},
+    {"unix_time", "ms", 0, 0, "", "", "", {}, 3, {}},
+    {"change", "", 0, 0, "", "", "", kFleetCommandChangeNames, 0,
+     kFleetCommandChangeNumbers},
 }};
 
 template <typename Self, typename Visitor>
@@ -380,9 +384,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kCommandResultFields{{
-    {"error", "", 0, 0, "", "", "", {}},
-    {"detail", "", 0, 0, "", "", "", {}},
-    {"version", "", 0, 0, "", "", "", {}},
+    {"error", "", 0, 0, "", "", "", {}, 1, {}},
+    {"detail", "", 0, 0, "", "", "", {}, 2, {}},
+    {"version", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -413,9 +417,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kOperationRecordFields{{
-    {"operation_id", "", 0, 0, "", "", "", {}},
-    {"fingerprint", "", 0, 0, "", "", "", {}},
-    {"result", "", 0, 0, "", "", "", {}},
+    {"operation_id", "", 0, 0, "", "", "", {}, 1, {}},
+    {"fingerprint", "", 0, 0, "", "", "", {}, 2, {}},
+    {"result", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -445,8 +449,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kKeyRecordFields{{
-    {"account", "", 0, 0, "", "", "", {}},
-    {"secret_hash", "", 0, 0, "", "", "", {}},
+    {"account", "", 0, 0, "", "", "", {}, 1, {}},
+    {"secret_hash", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -474,8 +478,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kHistoryRecordFields{{
-    {"version", "", 0, 0, "", "", "", {}},
-    {"command", "", 0, 0, "", "", "", {}},
+    {"version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"command", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -503,8 +507,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kAcceptedConfigurationFields{{
-    {"version", "", 0, 0, "", "", "", {}},
-    {"fingerprint", "", 0, 0, "", "", "", {}},
+    {"version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"fingerprint", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -534,9 +538,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kConfigurationRecordFields{{
-    {"version", "", 0, 0, "", "", "", {}},
-    {"document", "", 0, 0, "", "", "", {}},
-    {"accepted", "", 0, 0, "", "", "", {}},
+    {"version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"document", "", 0, 0, "", "", "", {}, 2, {}},
+    {"accepted", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -573,14 +577,14 @@
 };
 
 inline constexpr std::array<FieldInfo, 8> kFleetStateFields{{
-    {"version", "", 0, 0, "", "", "", {}},
-    {"tree", "", 0, 0, "", "", "", {}},
-    {"keys", "", 0, 0, "", "", "", {}},
-    {"history", "", 0, 0, "", "", "", {}},
-    {"operations", "", 0, 0, "", "", "", {}},
-    {"configuration", "", 0, 0, "", "", "", {}},
-    {"departures", "", 0, 0, "", "", "", {}},
-    {"evacuated", "", 0, 0, "", "", "", {}},
+    {"version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"tree", "", 0, 0, "", "", "", {}, 2, {}},
+    {"keys", "", 0, 0, "", "", "", {}, 3, {}},
+    {"history", "", 0, 0, "", "", "", {}, 4, {}},
+    {"operations", "", 0, 0, "", "", "", {}, 5, {}},
+    {"configuration", "", 0, 0, "", "", "", {}, 6, {}},
+    {"departures", "", 0, 0, "", "", "", {}, 7, {}},
+    {"evacuated", "", 0, 0, "", "", "", {}, 8, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/hop.h
+++ b/gen/rosemarywinch/schema/hop.h
@@ -37,20 +37,20 @@
 };
 
 inline constexpr std::array<FieldInfo, 14> kHopEnvelopeFields{{
-    {"protocol_version", "", 0, 0, "", "", "", {}},
-    {"request_id", "", 0, 0, "", "", "", {}},
-    {"account", "", 0, 0, "", "", "", {}},
-    {"service", "", 0, 0, "", "", "", {}},
-    {"route", "", 0, 0, "", "", "", {}},
-    {"request_class", "", 0, 0, "", "", "", {}},
-    {"at_most_once", "", 0, 0, "", "", "", {}},
-    {"nested", "", 0, 0, "", "", "", {}},
-    {"timeout", "ms", 0, 0, "", "", "", {}},
-    {"retries", "", 0, 0, "", "", "", {}},
-    {"depth", "", 0, 0, "", "", "", {}},
-    {"max_depth", "", 0, 0, "", "", "", {}},
-    {"weight", "", 0, 0, "", "", "", {}},
-    {"attempt", "", 0, 0, "", "", "", {}},
+    {"protocol_version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"request_id", "", 0, 0, "", "", "", {}, 2, {}},
+    {"account", "", 0, 0, "", "", "", {}, 3, {}},
+    {"service", "", 0, 0, "", "", "", {}, 4, {}},
+    {"route", "", 0, 0, "", "", "", {}, 5, {}},
+    {"request_class", "", 0, 0, "", "", "", {}, 6, {}},
+    {"at_most_once", "", 0, 0, "", "", "", {}, 7, {}},
+    {"nested", "", 0, 0, "", "", "", {}, 8, {}},
+    {"timeout", "ms", 0, 0, "", "", "", {}, 9, {}},
+    {"retries", "", 0, 0, "", "", "", {}, 10, {}},
+    {"depth", "", 0, 0, "", "", "", {}, 11, {}},
+    {"max_depth", "", 0, 0, "", "", "", {}, 12, {}},
+    {"weight", "", 0, 0, "", "", "", {}, 13, {}},
+    {"attempt", "", 0, 0, "", "", "", {}, 14, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -105,11 +105,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kRequestIdPartsFields{{
-    {"node", "", 0, 0, "", "", "", {}},
-    {"service", "", 0, 0, "", "", "", {}},
-    {"account", "", 0, 0, "", "", "", {}},
-    {"nonce", "", 0, 0, "", "", "", {}},
-    {"issued", "ms", 0, 0, "", "", "", {}},
+    {"node", "", 0, 0, "", "", "", {}, 1, {}},
+    {"service", "", 0, 0, "", "", "", {}, 2, {}},
+    {"account", "", 0, 0, "", "", "", {}, 3, {}},
+    {"nonce", "", 0, 0, "", "", "", {}, 4, {}},
+    {"issued", "ms", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/members.h
+++ b/gen/rosemarywinch/schema/members.h
@@ -45,11 +45,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kAnnouncementFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"address", "", 0, 0, "", "", "", {}},
-    {"state", "", 0, 0, "", "", "", {}},
-    {"slots", "", 0, 0, "", "", "", {}},
-    {"connections", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"address", "", 0, 0, "", "", "", {}, 2, {}},
+    {"state", "", 0, 0, "", "", "", {}, 3, {}},
+    {"slots", "", 0, 0, "", "", "", {}, 4, {}},
+    {"connections", "", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -88,13 +88,13 @@
 };
 
 inline constexpr std::array<FieldInfo, 7> kMemberFields{{
-    {"node", "", 0, 0, "", "", "", {}},
-    {"address", "", 0, 0, "", "", "", {}},
-    {"data_centre", "", 0, 0, "", "", "", {}},
-    {"service", "", 0, 0, "", "", "", {}},
-    {"state", "", 0, 0, "", "", "", {}},
-    {"slots", "", 0, 0, "", "", "", {}},
-    {"cold_rate", "", 0, 0, "", "", "", {}},
+    {"node", "", 0, 0, "", "", "", {}, 1, {}},
+    {"address", "", 0, 0, "", "", "", {}, 2, {}},
+    {"data_centre", "", 0, 0, "", "", "", {}, 3, {}},
+    {"service", "", 0, 0, "", "", "", {}, 4, {}},
+    {"state", "", 0, 0, "", "", "", {}, 5, {}},
+    {"slots", "", 0, 0, "", "", "", {}, 6, {}},
+    {"cold_rate", "", 0, 0, "", "", "", {}, 7, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -132,8 +132,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kServiceCursorFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"revision", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"revision", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -164,11 +164,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kServiceUpdateFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"revision", "", 0, 0, "", "", "", {}},
-    {"complete", "", 0, 0, "", "", "", {}},
-    {"members", "", 0, 0, "", "", "", {}},
-    {"removed", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"revision", "", 0, 0, "", "", "", {}, 2, {}},
+    {"complete", "", 0, 0, "", "", "", {}, 3, {}},
+    {"members", "", 0, 0, "", "", "", {}, 4, {}},
+    {"removed", "", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -81,8 +81,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kSplitPartFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"weight", "", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"weight", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -118,16 +118,16 @@
 };
 
 inline constexpr std::array<FieldInfo, 10> kRouteSpecFields{{
-    {"hostname", "", 0, 0, "", "", "", {}},
-    {"path_prefix", "", 0, 0, "", "", "", {}},
-    {"kind", "", 0, 0, "", "", "", {}},
-    {"timeout", "ms", 0, 0, "", "", "", {}},
-    {"target_latency", "ms", 0, 0, "", "", "", {}},
-    {"priority", "", 0, 0, "", "", "", {}},
-    {"service", "", 0, 0, "", "", "", {}},
-    {"split", "", 0, 0, "", "", "", {}},
-    {"max_attempts", "", 0, 0, "", "", "", {}},
-    {"open", "", 0, 0, "", "", "", {}},
+    {"hostname", "", 0, 0, "", "", "", {}, 1, {}},
+    {"path_prefix", "", 0, 0, "", "", "", {}, 2, {}},
+    {"kind", "", 0, 0, "", "", "", {}, 3, {}},
+    {"timeout", "ms", 0, 0, "", "", "", {}, 4, {}},
+    {"target_latency", "ms", 0, 0, "", "", "", {}, 5, {}},
+    {"priority", "", 0, 0, "", "", "", {}, 6, {}},
+    {"service", "", 0, 0, "", "", "", {}, 7, {}},
+    {"split", "", 0, 0, "", "", "", {}, 8, {}},
+    {"max_attempts", "", 0, 0, "", "", "", {}, 9, {}},
+    {"open", "", 0, 0, "", "", "", {}, 10, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -173,10 +173,10 @@
 };
 
 inline constexpr std::array<FieldInfo, 4> kServiceSpecFields{{
-    {"health_path", "", 0, 0, "", "", "", {}},
-    {"max_connections", "", 0, 0, "", "", "", {}},
-    {"cold_start", "", 0, 0, "", "", "", {}},
-    {"cold_rate", "", 0, 0, "", "", "", {}},
+    {"health_path", "", 0, 0, "", "", "", {}, 1, {}},
+    {"max_connections", "", 0, 0, "", "", "", {}, 2, {}},
+    {"cold_start", "", 0, 0, "", "", "", {}, 3, {}},
+    {"cold_rate", "", 0, 0, "", "", "", {}, 4, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -210,10 +210,10 @@
 };
 
 inline constexpr std::array<FieldInfo, 4> kAccountSpecFields{{
-    {"keys", "", 0, 0, "", "", "", {}},
-    {"priority", "", 0, 0, "", "", "", {}},
-    {"rate", "", 0, 0, "", "", "", {}},
-    {"burst", "", 0, 0, "", "", "", {}},
+    {"keys", "", 0, 0, "", "", "", {}, 1, {}},
+    {"priority", "", 0, 0, "", "", "", {}, 2, {}},
+    {"rate", "", 0, 0, "", "", "", {}, 3, {}},
+    {"burst", "", 0, 0, "", "", "", {}, 4, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -247,10 +247,10 @@
 };
 
 inline constexpr std::array<FieldInfo, 4> kCallerLimitsFields{{
-    {"max_header_bytes", "", 0, 0, "", "", "", {}},
-    {"max_body_bytes", "", 0, 0, "", "", "", {}},
-    {"header_timeout", "ms", 0, 0, "", "", "", {}},
-    {"idle_timeout", "ms", 0, 0, "", "", "", {}},
+    {"max_header_bytes", "", 0, 0, "", "", "", {}, 1, {}},
+    {"max_body_bytes", "", 0, 0, "", "", "", {}, 2, {}},
+    {"header_timeout", "ms", 0, 0, "", "", "", {}, 3, {}},
+    {"idle_timeout", "ms", 0, 0, "", "", "", {}, 4, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -286,12 +286,12 @@
 };
 
 inline constexpr std::array<FieldInfo, 6> kConfigurationFields{{
-    {"version", "", 0, 0, "", "", "", {}},
-    {"base_version", "", 0, 0, "", "", "", {}},
-    {"routes", "", 0, 0, "", "", "", {}},
-    {"services", "", 0, 0, "", "", "", {}},
-    {"accounts", "", 0, 0, "", "", "", {}},
-    {"limits", "", 0, 0, "", "", "", {}},
+    {"version", "", 0, 0, "", "", "", {}, 1, {}},
+    {"base_version", "", 0, 0, "", "", "", {}, 2, {}},
+    {"routes", "", 0, 0, "", "", "", {}, 3, {}},
+    {"services", "", 0, 0, "", "", "", {}, 4, {}},
+    {"accounts", "", 0, 0, "", "", "", {}, 5, {}},
+    {"limits", "", 0, 0, "", "", "", {}, 6, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -332,13 +332,13 @@
 };
 
 inline constexpr std::array<FieldInfo, 7> kBackendReportFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"address", "", 0, 0, "", "", "", {}},
-    {"state", "", 0, 0, "", "", "", {}},
-    {"slots", "", 0, 0, "", "", "", {}},
-    {"sequence", "", 0, 0, "", "", "", {}},
-    {"cold_left", "ms", 0, 0, "", "", "", {}},
-    {"born", "ms", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"address", "", 0, 0, "", "", "", {}, 2, {}},
+    {"state", "", 0, 0, "", "", "", {}, 3, {}},
+    {"slots", "", 0, 0, "", "", "", {}, 4, {}},
+    {"sequence", "", 0, 0, "", "", "", {}, 5, {}},
+    {"cold_left", "ms", 0, 0, "", "", "", {}, 6, {}},
+    {"born", "ms", 0, 0, "", "", "", {}, 7, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -376,8 +376,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kHeaderFieldFields{{
-    {"name", "", 0, 0, "", "", "", {}},
-    {"value", "", 0, 0, "", "", "", {}},
+    {"name", "", 0, 0, "", "", "", {}, 1, {}},
+    {"value", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -418,21 +418,21 @@
 };
 
 inline constexpr std::array<FieldInfo, 15> kHopRequestFields{{
-    {"request_id", "", 0, 0, "", "", "", {}},
-    {"service", "", 0, 0, "", "", "", {}},
-    {"method", "", 0, 0, "", "", "", {}},
-    {"target", "", 0, 0, "", "", "", {}},
-    {"headers", "", 0, 0, "", "", "", {}},
-    {"body", "", 0, 0, "", "", "", {}},
-    {"account", "", 0, 0, "", "", "", {}},
-    {"caller_service", "", 0, 0, "", "", "", {}},
-    {"time_left", "ms", 0, 0, "", "", "", {}},
-    {"priority", "", 0, 0, "", "", "", {}},
-    {"nested", "", 0, 0, "", "", "", {}},
-    {"kind", "", 0, 0, "", "", "", {}},
-    {"calls_before", "", 0, 0, "", "", "", {}},
-    {"entry_service", "", 0, 0, "", "", "", {}},
-    {"entry_priority", "", 0, 0, "", "", "", {}},
+    {"request_id", "", 0, 0, "", "", "", {}, 1, {}},
+    {"service", "", 0, 0, "", "", "", {}, 2, {}},
+    {"method", "", 0, 0, "", "", "", {}, 3, {}},
+    {"target", "", 0, 0, "", "", "", {}, 4, {}},
+    {"headers", "", 0, 0, "", "", "", {}, 5, {}},
+    {"body", "", 0, 0, "", "", "", {}, 6, {}},
+    {"account", "", 0, 0, "", "", "", {}, 7, {}},
+    {"caller_service", "", 0, 0, "", "", "", {}, 8, {}},
+    {"time_left", "ms", 0, 0, "", "", "", {}, 9, {}},
+    {"priority", "", 0, 0, "", "", "", {}, 10, {}},
+    {"nested", "", 0, 0, "", "", "", {}, 11, {}},
+    {"kind", "", 0, 0, "", "", "", {}, 12, {}},
+    {"calls_before", "", 0, 0, "", "", "", {}, 13, {}},
+    {"entry_service", "", 0, 0, "", "", "", {}, 14, {}},
+    {"entry_priority", "", 0, 0, "", "", "", {}, 15, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -487,9 +487,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kServicePressureFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"pressure", "", 0, 0, "", "", "", {}},
-    {"age", "ms", 0, 0, "", "", "", {}},
+    {"service", "", 0, 0, "", "", "", {}, 1, {}},
+    {"pressure", "", 0, 0, "", "", "", {}, 2, {}},
+    {"age", "ms", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -529,18 +529,18 @@
 };
 
 inline constexpr std::array<FieldInfo, 12> kHopResponseFields{{
-    {"outcome", "", 0, 0, "", "", "", {}},
-    {"reason", "", 0, 0, "", "", "", {}},
-    {"status", "", 0, 0, "", "", "", {}},
-    {"headers", "", 0, 0, "", "", "", {}},
-    {"body", "", 0, 0, "", "", "", {}},
-    {"reached_backend", "", 0, 0, "", "", "", {}},
-    {"in_flight", "", 0, 0, "", "", "", {}},
-    {"waiting", "", 0, 0, "", "", "", {}},
-    {"retry_after", "ms", 0, 0, "", "", "", {}},
-    {"pressure", "", 0, 0, "", "", "", {}},
-    {"has_load", "", 0, 0, "", "", "", {}},
-    {"pressure_below", "", 0, 0, "", "", "", {}},
+    {"outcome", "", 0, 0, "", "", "", {}, 1, {}},
+    {"reason", "", 0, 0, "", "", "", {}, 2, {}},
+    {"status", "", 0, 0, "", "", "", {}, 3, {}},
+    {"headers", "", 0, 0, "", "", "", {}, 4, {}},
+    {"body", "", 0, 0, "", "", "", {}, 5, {}},
+    {"reached_backend", "", 0, 0, "", "", "", {}, 6, {}},
+    {"in_flight", "", 0, 0, "", "", "", {}, 7, {}},
+    {"waiting", "", 0, 0, "", "", "", {}, 8, {}},
+    {"retry_after", "ms", 0, 0, "", "", "", {}, 9, {}},
+    {"pressure", "", 0, 0, "", "", "", {}, 10, {}},
+    {"has_load", "", 0, 0, "", "", "", {}, 11, {}},
+    {"pressure_below", "", 0, 0, "", "", "", {}, 12, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/quota.h
+++ b/gen/rosemarywinch/schema/quota.h
@@ -29,13 +29,13 @@
 };
 
 inline constexpr std::array<FieldInfo, 7> kAllowanceReportFields{{
-    {"account", "", 0, 0, "", "", "", {}},
-    {"demand", "", 0, 0, "", "", "", {}},
-    {"rate", "", 0, 0, "", "", "", {}},
-    {"burst", "", 0, 0, "", "", "", {}},
-    {"returned", "", 0, 0, "", "", "", {}},
-    {"grant", "", 0, 0, "", "", "", {}},
-    {"starved", "", 0, 0, "", "", "", {}},
+    {"account", "", 0, 0, "", "", "", {}, 1, {}},
+    {"demand", "", 0, 0, "", "", "", {}, 2, {}},
+    {"rate", "", 0, 0, "", "", "", {}, 3, {}},
+    {"burst", "", 0, 0, "", "", "", {}, 4, {}},
+    {"returned", "", 0, 0, "", "", "", {}, 5, {}},
+    {"grant", "", 0, 0, "", "", "", {}, 6, {}},
+    {"starved", "", 0, 0, "", "", "", {}, 7, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -76,11 +76,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kAllowanceGrantFields{{
-    {"account", "", 0, 0, "", "", "", {}},
-    {"rate", "", 0, 0, "", "", "", {}},
-    {"burst", "", 0, 0, "", "", "", {}},
-    {"tokens", "", 0, 0, "", "", "", {}},
-    {"grant", "", 0, 0, "", "", "", {}},
+    {"account", "", 0, 0, "", "", "", {}, 1, {}},
+    {"rate", "", 0, 0, "", "", "", {}, 2, {}},
+    {"burst", "", 0, 0, "", "", "", {}, 3, {}},
+    {"tokens", "", 0, 0, "", "", "", {}, 4, {}},
+    {"grant", "", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -120,14 +120,14 @@
 };
 
 inline constexpr std::array<FieldInfo, 8> kQuotaReportFields{{
-    {"account", "", 0, 0, "", "", "", {}},
-    {"demand", "", 0, 0, "", "", "", {}},
-    {"held", "", 0, 0, "", "", "", {}},
-    {"wanted", "", 0, 0, "", "", "", {}},
-    {"returned", "", 0, 0, "", "", "", {}},
-    {"waiting", "", 0, 0, "", "", "", {}},
-    {"fallback_rate", "", 0, 0, "", "", "", {}},
-    {"fleet_fallback_rate", "", 0, 0, "", "", "", {}},
+    {"account", "", 0, 0, "", "", "", {}, 1, {}},
+    {"demand", "", 0, 0, "", "", "", {}, 2, {}},
+    {"held", "", 0, 0, "", "", "", {}, 3, {}},
+    {"wanted", "", 0, 0, "", "", "", {}, 4, {}},
+    {"returned", "", 0, 0, "", "", "", {}, 5, {}},
+    {"waiting", "", 0, 0, "", "", "", {}, 6, {}},
+    {"fallback_rate", "", 0, 0, "", "", "", {}, 7, {}},
+    {"fleet_fallback_rate", "", 0, 0, "", "", "", {}, 8, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -171,11 +171,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kQuotaGrantFields{{
-    {"account", "", 0, 0, "", "", "", {}},
-    {"tokens", "", 0, 0, "", "", "", {}},
-    {"fallback_rate", "", 0, 0, "", "", "", {}},
-    {"dry", "", 0, 0, "", "", "", {}},
-    {"fleet_fallback_rate", "", 0, 0, "", "", "", {}},
+    {"account", "", 0, 0, "", "", "", {}, 1, {}},
+    {"tokens", "", 0, 0, "", "", "", {}, 2, {}},
+    {"fallback_rate", "", 0, 0, "", "", "", {}, 3, {}},
+    {"dry", "", 0, 0, "", "", "", {}, 4, {}},
+    {"fleet_fallback_rate", "", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/include/rosemarywinch/adapters/cbor_format.h
+++ b/include/rosemarywinch/adapters/cbor_format.h
@@ -22,6 +22,7 @@
 inline constexpr uint8_t kInfoMask = 0x1f;
 /// Smaller arguments stand in the first byte itself.
 inline constexpr uint8_t kOneByteArgument = 24;
+inline constexpr uint8_t kFourByteArgument = 26;
 inline constexpr uint8_t kEightByteArgument = 27;
 /// Values of the info of a simple item.
 inline constexpr uint8_t kFalse = 20;
--- a/include/rosemarywinch/adapters/message_sinks.h
+++ b/include/rosemarywinch/adapters/message_sinks.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "rosemarywinch/core/schema_support.h"
+
 namespace rosemarywinch {
 
 /// Builds JSON from the values of a message, in the order in which they come:
@@ -17,6 +19,10 @@
  public:
   void BeginObject(size_t) { Open(nlohmann::json::object()); }
   void Key(std::string_view name) { m_key = name; }
+  void Field(const FieldInfo& field) { Key(field.name); }
+  void Alternative(const FieldInfo& field, size_t index) {
+    Key(field.alternatives[index]);
+  }
   void EndObject() { m_open.pop_back(); }
   void BeginArray(size_t) { Open(nlohmann::json::array()); }
   void EndArray() { m_open.pop_back(); }
@@ -41,6 +47,10 @@
  public:
   void BeginObject(size_t members);
   void Key(std::string_view name) { Value(name); }
+  void Field(const FieldInfo& field) { Key(field.name); }
+  void Alternative(const FieldInfo& field, size_t index) {
+    Key(field.alternatives[index]);
+  }
   void EndObject() {}
   void BeginArray(size_t elements);
   void EndArray() {}
@@ -59,6 +69,10 @@
 
   std::string Take() { return std::move(m_bytes); }
 
+ protected:
+  /// Writes a number in four bytes.
+  void Single(float value);
+
  private:
   void Signed(int64_t value);
   void Unsigned(uint64_t value);
@@ -66,6 +80,19 @@
   std::string m_bytes;
 };
 
+/// As CborSink, but the keys of a message are the numbers of its fields, and a
+/// number that a float holds exactly takes four bytes.
+class WireSink : public CborSink {
+ public:
+  using CborSink::Value;
+
+  void Field(const FieldInfo& field) { Value(field.number); }
+  void Alternative(const FieldInfo& field, size_t index) {
+    Value(field.alternative_numbers[index]);
+  }
+  void Value(double value);
+};
+
 }  // namespace rosemarywinch
 
 #endif  // ROSEMARYWINCH_ADAPTERS_MESSAGE_SINKS_H_
--- a/include/rosemarywinch/core/schema_support.h
+++ b/include/rosemarywinch/core/schema_support.h
@@ -2,6 +2,7 @@
 #define ROSEMARYWINCH_CORE_SCHEMA_SUPPORT_H_
 
 #include <concepts>
+#include <cstdint>
 #include <span>
 #include <string_view>
 #include <type_traits>
@@ -22,6 +23,10 @@
   std::string_view levels;
   /// Names of the alternatives of a std::variant; empty for other fields.
   std::span<const std::string_view> alternatives;
+  /// Number of the field in the schema; 0 for a std::variant.
+  uint32_t number = 0;
+  /// Field numbers of the alternatives of a std::variant, in their order.
+  std::span<const uint32_t> alternative_numbers = {};
 
   /// Returns whether the field has a numeric range.
   constexpr bool HasRange() const { return min != 0 || max != 0; }
--- a/include/rosemarywinch/decisions/consensus/replica.h
+++ b/include/rosemarywinch/decisions/consensus/replica.h
@@ -17,8 +17,9 @@
 
 namespace rosemarywinch::consensus {
 
-/// Version of the messages between replicas, nodes and operators.
-inline constexpr uint32_t kProtocolVersion = 1;
+/// Version of the messages between replicas, nodes and operators. Version 1
+/// wrote the names of the fields in messages between processes.
+inline constexpr uint32_t kProtocolVersion = 2;
 
 /// Effects that the driver must carry out in the given order. A later effect
 /// may rely on the preceding ones being synced to disk.
--- a/src/adapters/cbor_scanner.cc
+++ b/src/adapters/cbor_scanner.cc
@@ -12,13 +12,6 @@
 
 using cbor::MajorType;
 
-/// First byte of an item and the number that follows it.
-struct ItemHead {
-  MajorType type = MajorType::kUnsigned;
-  uint8_t info = 0;
-  uint64_t argument = 0;
-};
-
 class CborScanner {
  public:
   CborScanner(std::string_view bytes, const CborLimits& limits)
@@ -33,13 +26,13 @@
         continue;
       }
       --open.back();
-      const std::optional<ItemHead> head = ReadHead();
+      const std::optional<CborHead> head = ReadCborHead(m_rest);
       const bool bounded = head && ++m_values <= m_limits.values;
       if (!bounded || !SkipContent(*head)) {
         return false;
       }
       if (head->type == MajorType::kArray || head->type == MajorType::kMap) {
-        open.push_back(ItemsOf(*head));
+        open.push_back(head->items());
       }
       if (open.size() > m_limits.nesting + 1) {
         return false;
@@ -49,37 +42,9 @@
   }
 
  private:
-  std::optional<ItemHead> ReadHead() {
-    if (m_rest.empty()) {
-      return std::nullopt;
-    }
-    const auto first = static_cast<uint8_t>(m_rest.front());
-    m_rest.remove_prefix(1);
-    ItemHead head;
-    head.type = static_cast<MajorType>(first >> cbor::kMajorTypeShift);
-    head.info = first & cbor::kInfoMask;
-    if (head.info < cbor::kOneByteArgument) {
-      head.argument = head.info;
-      return head;
-    }
-    if (head.info > cbor::kEightByteArgument) {
-      return std::nullopt;
-    }
-    const size_t length = size_t{1} << (head.info - cbor::kOneByteArgument);
-    if (m_rest.size() < length) {
-      return std::nullopt;
-    }
-    for (const char byte : m_rest.substr(0, length)) {
-      head.argument =
-          (head.argument << cbor::kBitsPerByte) | static_cast<uint8_t>(byte);
-    }
-    m_rest.remove_prefix(length);
-    return head;
-  }
-
   // Skips the bytes of a text. Returns whether the type is supported and no
   // more is promised than the rest can hold: an item takes a byte at least.
-  bool SkipContent(const ItemHead& head) {
+  bool SkipContent(const CborHead& head) {
     switch (head.type) {
       case MajorType::kUnsigned:
       case MajorType::kNegative:
@@ -104,10 +69,6 @@
     return false;
   }
 
-  static uint64_t ItemsOf(const ItemHead& head) {
-    return head.type == MajorType::kMap ? 2 * head.argument : head.argument;
-  }
-
   std::string_view m_rest;
   const CborLimits m_limits;
   size_t m_values = 0;
@@ -115,6 +76,34 @@
 
 }  // namespace
 
+std::optional<CborHead> ReadCborHead(std::string_view& rest) {
+  if (rest.empty()) {
+    return std::nullopt;
+  }
+  const auto first = static_cast<uint8_t>(rest.front());
+  rest.remove_prefix(1);
+  CborHead head;
+  head.type = static_cast<MajorType>(first >> cbor::kMajorTypeShift);
+  head.info = first & cbor::kInfoMask;
+  if (head.info < cbor::kOneByteArgument) {
+    head.argument = head.info;
+    return head;
+  }
+  if (head.info > cbor::kEightByteArgument) {
+    return std::nullopt;
+  }
+  const size_t length = size_t{1} << (head.info - cbor::kOneByteArgument);
+  if (rest.size() < length) {
+    return std::nullopt;
+  }
+  for (const char byte : rest.substr(0, length)) {
+    head.argument =
+        (head.argument << cbor::kBitsPerByte) | static_cast<uint8_t>(byte);
+  }
+  rest.remove_prefix(length);
+  return head;
+}
+
 bool IsBoundedCbor(std::string_view bytes, const CborLimits& limits) {
   return CborScanner(bytes, limits).Scan();
 }
--- a/src/adapters/message_sinks.cc
+++ b/src/adapters/message_sinks.cc
@@ -1,6 +1,8 @@
 #include "rosemarywinch/adapters/message_sinks.h"
 
 #include <bit>
+#include <cmath>
+#include <limits>
 
 #include "rosemarywinch/adapters/cbor_format.h"
 
@@ -75,6 +77,21 @@
   m_bytes += text;
 }
 
+void CborSink::Single(float value) {
+  AppendSimple(m_bytes, cbor::kFourByteArgument);
+  AppendBigEndian(m_bytes, std::bit_cast<uint32_t>(value), sizeof(value));
+}
+
+void WireSink::Value(double value) {
+  const bool in_range = std::abs(value) <= std::numeric_limits<float>::max();
+  const auto single = in_range ? static_cast<float>(value) : 0.0F;
+  if (in_range && static_cast<double>(single) == value) {
+    Single(single);
+    return;
+  }
+  CborSink::Value(value);
+}
+
 void CborSink::Unsigned(uint64_t value) {
   AppendHead(m_bytes, MajorType::kUnsigned, value);
 }
--- a/src/programs/mesh/hop_client.cc
+++ b/src/programs/mesh/hop_client.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "rosemarywinch/adapters/json_codec.h"
+#include "rosemarywinch/adapters/wire_codec.h"
 
 namespace rosemarywinch {
 
@@ -20,11 +20,15 @@
   return response;
 }
 
+// A node with another protocol version cannot read the request and refuses it.
 HopResponse Decode(const std::string& payload) {
-  const Outcome<HopResponse> decoded =
-      Capture([&] { return FromBinary<HopResponse>(payload); });
-  if (const auto* response = std::get_if<HopResponse>(&decoded)) {
-    return *response;
+  Outcome<HopResponse> decoded =
+      Capture([&] { return FromWire<HopResponse>(payload); });
+  if (auto* response = std::get_if<HopResponse>(&decoded)) {
+    return std::move(*response);
+  }
+  if (std::get<Error>(decoded).id == ErrorId::kProtocolVersion) {
+    return FailedResponse(HopOutcome::kNotRun, ErrorId::kProtocolVersion);
   }
   return FailedResponse(HopOutcome::kUnknown, ErrorId::kMalformedMessage);
 }
@@ -69,7 +73,7 @@
     const HopRequest& request,
     std::shared_ptr<CancellationToken> cancellation) {
   return m_links.Exchange(member.address, FrameType::kHopRequest,
-                          ToBinary(request), request.time_left + kResponseGrace,
+                          ToWire(request), request.time_left + kResponseGrace,
                           std::move(cancellation));
 }
 
--- a/src/programs/mesh/hop_server.cc
+++ b/src/programs/mesh/hop_server.cc
@@ -4,8 +4,8 @@
 #include <boost/asio/detached.hpp>
 #include <vector>
 
-#include "rosemarywinch/adapters/json_codec.h"
 #include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/adapters/wire_codec.h"
 
 namespace rosemarywinch {
 
@@ -101,21 +101,22 @@
                                      Frame frame,
                                      CallSignals signals) {
   const uint64_t exchange = frame.exchange;
-  const Outcome<HopRequest> decoded =
-      Capture([&] { return FromBinary<HopRequest>(frame.payload); });
+  Outcome<HopRequest> decoded =
+      Capture([&] { return FromWire<HopRequest>(frame.payload); });
   HopResponse response;
-  if (const auto* request = std::get_if<HopRequest>(&decoded)) {
-    response = co_await m_backend_proxy.Run(*request, signals);
+  if (auto* request = std::get_if<HopRequest>(&decoded)) {
+    response = co_await m_backend_proxy.Run(std::move(*request), signals);
   } else {
+    const Error& error = std::get<Error>(decoded);
     response.outcome = HopOutcome::kNotRun;
-    response.reason = ErrorId::kMalformedMessage;
-    LogEvent(LogLevel::kError, "hop_malformed",
-             {{"error", std::get<Error>(decoded).Message()}});
+    response.reason = error.id;
+    LogEvent(LogLevel::kError, "hop_malformed", {{"error", error.Message()}});
   }
   m_exchanges.With(ShardKey(exchange), [&](Shard& shard) {
     shard.open.erase({link.get(), exchange});
   });
-  link->Send({FrameType::kHopResponse, exchange, ToBinary(response)});
+  link->Send({FrameType::kHopResponse, exchange,
+              EncodeReply(frame.payload, response)});
   --m_open_requests;
 }
 
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -8,10 +8,10 @@
 #include "rosemarywinch/adapters/async/async_http_server.h"
 #include "rosemarywinch/adapters/async/link_client.h"
 #include "rosemarywinch/adapters/file_storage.h"
-#include "rosemarywinch/adapters/json_codec.h"
 #include "rosemarywinch/adapters/log.h"
 #include "rosemarywinch/adapters/metrics.h"
 #include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/adapters/wire_codec.h"
 #include "rosemarywinch/core/text_value.h"
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "rosemarywinch/programs/control_service.h"
@@ -61,7 +61,7 @@
 
   void Send(const PeerMessage& message) override {
     m_links.Post(AddressFromIpv4(message.to_replica, m_port),
-                 FrameType::kPeerMessage, ToBinary(message));
+                 FrameType::kPeerMessage, ToWire(message));
   }
 
  private:
@@ -166,7 +166,7 @@
 
   void HandlePeerMessage(const Frame& frame) {
     const Outcome<PeerMessage> message =
-        Capture([&] { return FromBinary<PeerMessage>(frame.payload); });
+        Capture([&] { return FromWire<PeerMessage>(frame.payload); });
     if (const auto* error = std::get_if<Error>(&message)) {
       LogEvent(LogLevel::kError, "peer_message_malformed",
                {{"error", error->Message()}});
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -5,8 +5,8 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
-#include "rosemarywinch/adapters/json_codec.h"
 #include "rosemarywinch/adapters/log.h"
+#include "rosemarywinch/adapters/wire_codec.h"
 #include "rosemarywinch/core/text_value.h"
 #include "rosemarywinch/decisions/consensus/replica.h"
 
@@ -147,7 +147,7 @@
   const TimePoint sent = m_clock.Now();
   const ExchangeResult result = co_await m_links.Exchange(
       AddressFromIpv4(replica, m_options.control_port), FrameType::kPollRequest,
-      ToBinary(request), kPollTimeout, std::make_shared<CancellationToken>());
+      ToWire(request), kPollTimeout, std::make_shared<CancellationToken>());
   const Outcome<Done> outcome = Capture(
       [&] { return ApplyReply(replica, sent, request.tokens_only, result); });
   const auto* error = std::get_if<Error>(&outcome);
@@ -174,7 +174,7 @@
     return Fail(ErrorId::kUnreachable,
                 AddressFromIpv4(replica, m_options.control_port));
   }
-  BOOST_LEAF_AUTO(reply, FromBinary<PollReply>(result.payload));
+  BOOST_LEAF_AUTO(reply, FromWire<PollReply>(result.payload));
   if (!reply.response) {
     return Fail(reply.error, reply.detail);
   }
--- a/src/programs/mesh/poll_handler.cc
+++ b/src/programs/mesh/poll_handler.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "rosemarywinch/adapters/async/one_shot.h"
-#include "rosemarywinch/adapters/json_codec.h"
+#include "rosemarywinch/adapters/wire_codec.h"
 
 namespace rosemarywinch {
 
@@ -24,7 +24,7 @@
   } else {
     reply.response = std::get<PollResponse>(outcome);
   }
-  link->Send({FrameType::kPollReply, exchange, ToBinary(reply)});
+  link->Send({FrameType::kPollReply, exchange, ToWire(reply)});
 }
 
 }  // namespace
@@ -32,9 +32,13 @@
 void PollHandler::Handle(const std::shared_ptr<FrameLink>& link,
                          const Frame& frame) {
   Outcome<PollRequest> decoded =
-      Capture([&] { return FromBinary<PollRequest>(frame.payload); });
+      Capture([&] { return FromWire<PollRequest>(frame.payload); });
   if (const auto* error = std::get_if<Error>(&decoded)) {
-    SendReply(link, frame.exchange, *error);
+    PollReply reply;
+    reply.error = error->id;
+    reply.detail = error->detail;
+    link->Send({FrameType::kPollReply, frame.exchange,
+                EncodeReply(frame.payload, reply)});
     return;
   }
   auto& request = std::get<PollRequest>(decoded);
--- a/tests/process-control.cpp
+++ b/tests/process-control.cpp
@@ -168,7 +168,7 @@
       "127.0.0.1:" + std::to_string(fleet.ControlPort(fleet.Leader()));
   for (int i = 1; i <= 600; ++i) {
     request.body =
-        R"({"id":1,"method":"operator.command","params":{"protocol_version":1,)"
+        R"({"id":1,"method":"operator.command","params":{"protocol_version":2,)"
         R"("wait":0,"command":{"operation_id":"n)" +
         std::to_string(i) + R"(","change_tree":{"expected_version":)" +
         std::to_string(i) + R"(,"edits":[{"path":"/s)" + std::to_string(i % 9) +
--- a/tests/unit-json-codec.cpp
+++ b/tests/unit-json-codec.cpp
@@ -3,8 +3,11 @@
 
 #include <rapidcheck.h>
 
+#include <random>
+
 #include "rosemarywinch/adapters/json_codec.h"
 #include "rosemarywinch/adapters/json_rpc.h"
+#include "rosemarywinch/adapters/wire_codec.h"
 #include "rosemarywinch/programs/hop.h"
 #include "rosemarywinch/schema/consensus.h"
 #include "rosemarywinch/schema/control.h"
@@ -43,6 +46,7 @@
     message.body = append;
     RC_ASSERT(*FromJson<PeerMessage>(ToJson(message)) == message);
     RC_ASSERT(*FromBinary<PeerMessage>(ToBinary(message)) == message);
+    RC_ASSERT(*FromWire<PeerMessage>(ToWire(message)) == message);
     FleetState state;
     state.version = number;
     state.tree["/"].rate = static_cast<double>(term) / 7;
@@ -50,6 +54,7 @@
     state.tree["/b"].timeout = Duration{0};
     state.keys[text] = {text, text};
     RC_ASSERT(*FromBinary<FleetState>(ToBinary(state)) == state);
+    RC_ASSERT(*FromWire<FleetState>(ToWire(state)) == state);
   });
   BOOST_TEST(holds);
 }
@@ -92,6 +97,149 @@
   BOOST_TEST(holds);
 }
 
+namespace {
+
+// Gives each field of a message a value that differs from its default.
+class Filler {
+ public:
+  explicit Filler(uint32_t seed) : m_engine(seed) {}
+
+  template <typename T>
+  void Fill(T& value) {
+    if constexpr (std::is_same_v<T, Duration>) {
+      value.ms = Whole();
+    } else if constexpr (std::is_enum_v<T>) {
+      const auto& table = EnumTable(T{});
+      value = table[m_engine() % table.size()].value;
+    } else if constexpr (detail::IsOptional<T>::value) {
+      Fill(value.emplace());
+    } else if constexpr (detail::IsVector<T>::value) {
+      Fill(value.emplace_back());
+      Fill(value.emplace_back());
+    } else if constexpr (detail::IsMap<T>::value) {
+      Fill(value["k" + std::to_string(m_engine() % 9)]);
+    } else if constexpr (std::is_same_v<T, std::string>) {
+      value.assign(m_engine() % 30, static_cast<char>(m_engine()));
+    } else if constexpr (SchemaMessage<T>) {
+      VisitFields(value, [&](const FieldInfo&, auto& part) { Fill(part); });
+    } else if constexpr (requires { value.index(); }) {
+      FillAlternative(value, 1 + m_engine() % (std::variant_size_v<T> - 1));
+    } else if constexpr (std::is_floating_point_v<T>) {
+      value = static_cast<double>(Whole()) / (m_engine() % 2 == 0 ? 8 : 7);
+    } else if constexpr (!std::is_same_v<T, std::monostate>) {
+      value = static_cast<T>(Whole());
+    }
+  }
+
+ private:
+  template <size_t kIndex = 1, typename... Parts>
+  void FillAlternative(std::variant<Parts...>& value, size_t index) {
+    if constexpr (kIndex < sizeof...(Parts)) {
+      if (kIndex == index) {
+        Fill(value.template emplace<kIndex>());
+      } else {
+        FillAlternative<kIndex + 1>(value, index);
+      }
+    }
+  }
+
+  int64_t Whole() {
+    return static_cast<int64_t>(m_engine() >> (23 + m_engine() % 40));
+  }
+
+  std::mt19937_64 m_engine;
+};
+
+template <typename T>
+void CheckRoundTrips() {
+  constexpr int kMessages = 30;
+  Filler filler(20'261'207);
+  for (int i = 0; i < kMessages; ++i) {
+    T message;
+    filler.Fill(message);
+    const std::string bytes = ToWire(message);
+    BOOST_REQUIRE(
+        (std::get<T>(Capture([&] { return FromWire<T>(bytes); })) == message));
+    // No truncated message is accepted.
+    for (size_t length = 0; length < bytes.size(); length += 1 + length / 40) {
+      BOOST_REQUIRE(std::holds_alternative<Error>(
+          Capture([&] { return FromWire<T>(bytes.substr(0, length)); })));
+    }
+  }
+}
+
+ErrorId WireErrorOf(const std::string& bytes) {
+  const auto outcome = Capture([&] { return FromWire<PollRequest>(bytes); });
+  const auto* error = std::get_if<Error>(&outcome);
+  return error == nullptr ? ErrorId::kNone : error->id;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(all_messages_between_processes_round_trip) {
+  CheckRoundTrips<HopRequest>();
+  CheckRoundTrips<HopResponse>();
+  CheckRoundTrips<PollRequest>();
+  CheckRoundTrips<PollReply>();
+  CheckRoundTrips<PeerMessage>();
+}
+
+BOOST_AUTO_TEST_CASE(unknown_field_numbers_are_ignored) {
+  // {600: [{1: "x"}, true], 1: 2}
+  const std::string bytes("\xa2\x19\x02\x58\x82\xa1\x01\x61x\xf5\x01\x02", 12);
+  const auto request = Capture([&] { return FromWire<PollRequest>(bytes); });
+  BOOST_TEST(std::get<PollRequest>(request).protocol_version == 2u);
+}
+
+// A process of an older version must not be misread: an empty request would
+// pass as a valid one.
+BOOST_AUTO_TEST_CASE(messages_with_named_fields_are_of_another_version) {
+  PollRequest request;
+  request.node = "n";
+  BOOST_TEST((WireErrorOf(ToBinary(request)) == ErrorId::kProtocolVersion));
+  BOOST_TEST((WireErrorOf(ToWire(request)) == ErrorId::kNone));
+  PollReply refusal;
+  refusal.error = ErrorId::kProtocolVersion;
+  const std::string reply = EncodeReply(ToBinary(request), refusal);
+  BOOST_TEST((FromBinary<PollReply>(reply)->error == refusal.error));
+  BOOST_TEST(
+      (FromWire<PollReply>(EncodeReply(ToWire(request), refusal))->error ==
+       refusal.error));
+}
+
+// The names of the fields cost as much as the content of a small call.
+BOOST_AUTO_TEST_CASE(frames_of_a_small_call_are_short) {
+  HopRequest request;
+  request.request_id = "0123456789abcdef-42";
+  request.service = "pricing";
+  request.method = "GET";
+  request.target = "/price?item=1742";
+  request.headers = {{"Accept", "application/json"},
+                     {"User-Agent", "checkout/1.4"},
+                     {"X-Request-Id", "0123456789abcdef-42"}};
+  request.account = "account-17";
+  request.caller_service = "checkout";
+  request.time_left = {840};
+  request.priority = 1;
+  request.nested = true;
+  request.calls_before = 2;
+  request.entry_service = "checkout";
+  request.entry_priority = 1;
+  HopResponse response;
+  response.status = 200;
+  response.headers = {{"Content-Type", "application/json"}};
+  response.body = R"({"price":1250,"currency":"EUR"})";
+  response.reached_backend = true;
+  response.pressure = 0.25;
+  const auto report = [](const char* name, size_t named, size_t numbered) {
+    BOOST_TEST_MESSAGE(name << " " << named << " bytes with names, " << numbered
+                            << " with numbers");
+    BOOST_TEST(numbered < named);
+  };
+  report("HopRequest", ToBinary(request).size(), ToWire(request).size());
+  report("HopResponse", ToBinary(response).size(), ToWire(response).size());
+}
+
 BOOST_AUTO_TEST_CASE(wrong_json_types_are_malformed_messages) {
   const auto error_of = [](const char* text) {
     const auto outcome = Capture([&]() -> Result<PollRequest> {
--- a/tests/unit-odd-input.cpp
+++ b/tests/unit-odd-input.cpp
@@ -10,6 +10,7 @@
 #include "rosemarywinch/adapters/async/net.h"
 #include "rosemarywinch/adapters/json_codec.h"
 #include "rosemarywinch/adapters/mesh_codec.h"
+#include "rosemarywinch/adapters/wire_codec.h"
 #include "rosemarywinch/core/text_value.h"
 #include "rosemarywinch/interfaces/http_request_builder.h"
 #include "rosemarywinch/schema/consensus.h"
@@ -44,7 +45,17 @@
 template <typename T>
 bool IsRejectedCbor(const std::string& bytes) {
   return std::holds_alternative<Error>(
-      Capture([&] { return FromBinary<T>(bytes); }));
+             Capture([&] { return FromBinary<T>(bytes); })) &&
+         std::holds_alternative<Error>(
+             Capture([&] { return FromWire<T>(bytes); }));
+}
+
+// Returns the error with which a frame is rejected, or an empty text.
+template <typename T>
+std::string WireProblem(const std::string& bytes) {
+  const auto outcome = Capture([&] { return FromWire<T>(bytes); });
+  const auto* error = std::get_if<Error>(&outcome);
+  return error == nullptr ? "" : error->detail;
 }
 
 OperatorCall ReadPut(const std::string& body) {
@@ -204,6 +215,34 @@
   const std::string good = ToBinary(StateRequest{3});
   BOOST_TEST(!IsRejectedCbor<StateRequest>(good));
   BOOST_TEST(IsRejectedCbor<StateRequest>(good + "\x01"));
+  BOOST_TEST(WireProblem<StateRequest>(ToWire(StateRequest{3})) == "");
+  BOOST_TEST(WireProblem<StateRequest>(ToWire(StateRequest{3}) + "\x01") != "");
+  // Unknown fields may hold no more levels than known ones.
+  const std::string unknown = "\xa1\x18\xff";
+  BOOST_TEST(WireProblem<StateRequest>(unknown + std::string(31, '\x81') +
+                                       "\x01") == "");
+  BOOST_TEST(WireProblem<StateRequest>(unknown + std::string(40, '\x81') +
+                                       "\x01") != "");
+}
+
+BOOST_AUTO_TEST_CASE(wire_numbers_are_not_narrowed) {
+  // Field 1 is a uint32, a negative whole number, or of another type.
+  const auto problem = [](const std::string& value) {
+    return WireProblem<StateRequest>("\xa1\x01" + value);
+  };
+  BOOST_TEST(problem("\x1a\xff\xff\xff\xff") == "");
+  for (const std::string& value :
+       {std::string("\x1b\x00\x00\x00\x01\x00\x00\x00\x00", 9),
+        std::string("\x20"), std::string("\x3b") + std::string(8, '\xff'),
+        std::string("\xf5"), std::string("\x61x"),
+        std::string("\xfa\x3f\x80\x00\x00", 5)}) {
+    BOOST_TEST(problem(value).starts_with("protocol_version: "));
+  }
+  BOOST_TEST(WireProblem<HopResponse>(std::string("\xa1\x01\x18\x63", 4))
+                 .starts_with("outcome: "));
+  // Keys that are no field numbers.
+  BOOST_TEST(WireProblem<StateRequest>("\xa1\x20\x01") != "");
+  BOOST_TEST(WireProblem<StateRequest>("\xa1\x80\x01") != "");
 }
 
 BOOST_AUTO_TEST_CASE(numbers_that_are_not_finite_are_rejected) {
@@ -212,6 +251,8 @@
                              std::numeric_limits<double>::quiet_NaN(), 1e300}) {
     response.pressure = value;
     BOOST_TEST(IsRejectedCbor<HopResponse>(ToBinary(response)));
+    BOOST_TEST(
+        WireProblem<HopResponse>(ToWire(response)).starts_with("pressure: "));
   }
 }
 
@@ -318,7 +359,7 @@
   request.member.slots = 4;
   request.services.push_back({"s", 7});
   request.quotas.emplace_back().account = "a";
-  return ToBinary(request);
+  return ToWire(request);
 }
 
 std::string SamplePeerMessage() {
@@ -329,17 +370,18 @@
   command.change = PutConfiguration{4, 3, "{}", "f"};
   append.entries.push_back({1, 4, command});
   message.body = append;
-  return ToBinary(message);
+  return ToWire(message);
 }
 
 template <typename T>
 bool SurvivesBytes(const std::string& bytes) {
-  const auto decoded = Capture([&] { return FromBinary<T>(bytes); });
+  static_cast<void>(Capture([&] { return FromBinary<T>(bytes); }));
+  const auto decoded = Capture([&] { return FromWire<T>(bytes); });
   const auto* value = std::get_if<T>(&decoded);
   // What was accepted can be encoded, and is the same when it is decoded again.
-  return value == nullptr || std::get<T>(Capture([&] {
-                               return FromBinary<T>(ToBinary(*value));
-                             })) == *value;
+  return value == nullptr ||
+         std::get<T>(Capture([&] { return FromWire<T>(ToWire(*value)); })) ==
+             *value;
 }
 
 }  // namespace
--- a/tools/schemagen/main.cc
+++ b/tools/schemagen/main.cc
@@ -285,6 +285,7 @@
         m_out.Print(", \"$n$\"", "n", oneof->field(k)->name());
       }
       m_out.Print("};\n\n");
+      WriteAlternativeNumbers(type, *oneof);
     });
     m_out.Print("inline constexpr std::array<FieldInfo, $c$> k$t$Fields{{\n",
                 "c", std::to_string(members), "t", type.name());
@@ -297,6 +298,19 @@
     m_out.Print("}};\n\n");
   }
 
+  // Emits the field numbers of the alternatives of a std::variant; the first
+  // one holds no value.
+  void WriteAlternativeNumbers(const pb::Descriptor& type,
+                               const pb::OneofDescriptor& oneof) {
+    m_out.Print("inline constexpr std::array<uint32_t, $c$> k$t$$o$Numbers{0",
+                "c", std::to_string(oneof.field_count() + 1), "t", type.name(),
+                "o", CamelCase(oneof.name()));
+    for (int i = 0; i < oneof.field_count(); ++i) {
+      m_out.Print(", $n$", "n", std::to_string(oneof.field(i)->number()));
+    }
+    m_out.Print("};\n\n");
+  }
+
   void WriteFieldInfo(const pb::Descriptor& type,
                       const std::string& name,
                       const pb::FieldDescriptor* field,
@@ -305,8 +319,8 @@
     if (field != nullptr) {
       rule = field->options().GetExtension(rosemarywinch::schema::rule);
     }
-    const std::string names =
-        oneof == nullptr ? "{}" : "k" + type.name() + CamelCase(name) + "Names";
+    const std::string table = "k" + type.name() + CamelCase(name);
+    const bool plain = oneof == nullptr;
     std::map<std::string, std::string> values{
         {"name", Quoted(name)},
         {"unit", Quoted(rule.unit())},
@@ -315,10 +329,12 @@
         {"default", Quoted(rule.default_value())},
         {"help", Quoted(rule.help())},
         {"levels", Quoted(rule.levels())},
-        {"names", names}};
+        {"names", plain ? "{}" : table + "Names"},
+        {"number", plain ? std::to_string(field->number()) : "0"},
+        {"numbers", plain ? "{}" : table + "Numbers"}};
     m_out.Print(values,
                 "    {$name$, $unit$, $min$, $max$, $default$, $help$, "
-                "$levels$, $names$},\n");
+                "$levels$, $names$, $number$, $numbers$},\n");
   }
 
   // Emits one call per struct member and closes the function body.
