Limit the calls that start on a cold backend server

A cold backend server crashes when it gets more requests than it bears, comes back cold and is overloaded again. ColdStartLimit allows at most `cold_rate` starts in any span of one second, and AdmissionQueue keeps only those calls waiting that can start soon; the others are refused as overloaded.

BackendPresence counts an incarnation that is new or was unreachable as cold until a report says otherwise, and takes a `cold_left` below 0 or above an hour for an invalid report. Configurations with a negative or non-finite cold_rate or cold_start are refused.

A report of another service changes nothing any more: it replaced the record of the backend server, so that all its later reports counted as stale. A notice without the start time, of an id that is not the current one, is noted as the departure of all incarnations of that id until now.

--- a/include/rosemarywinch/decisions/mesh/backend_presence.h
+++ b/include/rosemarywinch/decisions/mesh/backend_presence.h
@@ -19,6 +19,8 @@
   std::string service;
   BackendState state = BackendState::kReady;
   uint32_t slots = 0;
+  /// Calls per second that it bears while it is cold; 0 means no limit.
+  double cold_rate = 0;
 };
 
 /// Result of handling a report.
@@ -27,8 +29,8 @@
   /// From an earlier incarnation of the backend server, or not newer than a
   /// report that was accepted.
   kStale,
-  /// A field is missing or invalid, or the address is not that of the local
-  /// backend server.
+  /// A field is missing or invalid, or the address or the service is not that
+  /// of the local backend server. Changes nothing.
   kInvalid,
 };
 
@@ -46,11 +48,20 @@
 /// until the departures known to earlier processes were restored from control.
 class BackendPresence {
  public:
-  /// `address` is where the local backend server listens; reports with another
-  /// address are invalid. Without a report for `timeout`, the backend server
-  /// counts as absent.
-  BackendPresence(std::string address, Duration timeout)
-      : m_address(std::move(address)), m_timeout(timeout) {}
+  /// `address` is where the local backend server listens, and `service` what it
+  /// belongs to; reports with another address or service are invalid. An empty
+  /// `service` stands for any. Without a report for `timeout`, the backend
+  /// server counts as absent.
+  BackendPresence(std::string address,
+                  Duration timeout,
+                  std::string service = "")
+      : m_address(std::move(address)),
+        m_service(std::move(service)),
+        m_timeout(timeout) {}
+
+  /// Sets for how long an incarnation that is new, or was unreachable, counts
+  /// as cold if its report does not say so; 0 by default.
+  void SetColdStart(Duration cold_start) { m_cold_start = cold_start; }
 
   /// `unix_now` is the time of day; a report of a backend server that is yet to
   /// start is invalid.
@@ -60,9 +71,10 @@
                          const BackendReport& report);
 
   /// Handles the notice of an incarnation that it is shutting down. Without
-  /// `born`, the current one is meant. Returns the departure, which may be
-  /// acknowledged once it is stored; nothing if no incarnation is named: `born`
-  /// is missing and `id` is not the current one, or it is in the future.
+  /// `born`, the current one is meant if it has this id, otherwise all that
+  /// have started until now. Returns the departure, which may be acknowledged
+  /// once it is stored; nothing if no incarnation is named: `id` is empty, or
+  /// `born` is in the future.
   std::optional<Departure> OnWithdraw(Duration unix_now,
                                       const std::string& id,
                                       std::optional<Duration> born);
@@ -75,7 +87,7 @@
   const DepartureTracker& departures() const { return m_departures; }
 
   /// Handles a refused connection to the backend server: nothing listens at its
-  /// address.
+  /// address. The incarnation is absent until its next report.
   void OnConnectionRefused(TimePoint now);
 
   /// Returns the backend server if it is present; it may be leaving.
@@ -85,7 +97,9 @@
   bool IsValidReport(Duration unix_now, const BackendReport& report) const;
 
   const std::string m_address;
+  const std::string m_service;
   const Duration m_timeout;
+  Duration m_cold_start;
   LocalBackend m_backend;
   Duration m_born;
   uint64_t m_sequence = 0;
--- a/include/rosemarywinch/decisions/mesh/mesh_config.h
+++ b/include/rosemarywinch/decisions/mesh/mesh_config.h
@@ -50,6 +50,8 @@
   const AccountSpec* FindAccount(const std::string& name) const;
 
   bool HasService(const std::string& name) const;
+  /// Returns the settings of a service; the defaults if it is unknown.
+  ServiceSpec SettingsOf(const std::string& service) const;
   /// Returns true if requests on routes that are not open need a key.
   bool HasAccounts() const { return !m_configuration.accounts.empty(); }
   uint64_t version() const { return m_configuration.version; }
@@ -60,6 +62,7 @@
 
  private:
   explicit MeshConfig(Configuration configuration);
+  Result<Done> CheckServices() const;
   Result<Done> AddRoutes();
   Result<Done> AddKeys();
 
--- a/include/rosemarywinch/decisions/traffic/admission_queue.h
+++ b/include/rosemarywinch/decisions/traffic/admission_queue.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "rosemarywinch/core/time.h"
+#include "rosemarywinch/decisions/traffic/cold_start_limit.h"
 #include "rosemarywinch/decisions/traffic/concurrency_limit.h"
 #include "rosemarywinch/schema/errors.h"
 #include "rosemarywinch/schema/policy.h"
@@ -52,12 +53,16 @@
 /// Those without earlier calls run last in, first out, because the oldest have
 /// too little time left to be worth a slot. When the queue is full, the call
 /// that would run last is refused.
+///
+/// While the backend server is cold, ColdStartLimit bounds the starts too, and
+/// only calls wait that can start soon; the others are refused at once.
 class AdmissionQueue {
  public:
   AdmissionQueue(ConcurrencyLimit limit, uint32_t queue_length);
 
   /// Offers a call. Returns its verdict, followed by the refusal of a waiting
-  /// call that was evicted from the full queue, if any.
+  /// call that was evicted from the full queue, if any. While the backend
+  /// server is cold, a call that is not listed waits.
   /// Complexity: logarithmic in the queue length.
   std::vector<Admission> Offer(TimePoint now, Ticket ticket);
 
@@ -76,13 +81,37 @@
   /// are now started or refused.
   std::vector<Admission> SetLimit(TimePoint now, ConcurrencyLimit limit);
 
+  /// Sets the calls per second that the backend server bears while it is cold;
+  /// 0 means that it is not. Returns the verdicts of waiting calls that are now
+  /// started or refused.
+  std::vector<Admission> SetColdRate(TimePoint now, double rate);
+
+  /// Starts waiting calls that may start by now. Returns their verdicts.
+  std::vector<Admission> Advance(TimePoint now);
+
+  /// Returns when to call Advance(): the next time at which a waiting call may
+  /// start, or must be refused, although no other has ended; nothing if there
+  /// is none.
+  std::optional<TimePoint> NextStart(TimePoint now) const;
+
   uint32_t in_flight() const { return m_in_flight; }
   size_t waiting() const { return m_positions.size(); }
-  uint32_t limit() const { return CurrentLimit(m_limit); }
+  uint32_t limit() const;
+  double cold_rate() const { return m_cold_limit.rate(); }
+  /// Number of calls that were refused because the backend server is cold.
+  uint64_t cold_refusals() const { return m_cold_refusals; }
+
+  /// Returns the number of slots that calls can use at present. A cold backend
+  /// server uses no more than its rate times the mean time of a call.
+  double UsableSlots() const;
 
   /// Estimates the waiting time of a call offered now.
   Duration ExpectedWait() const;
 
+  /// Estimates the time until a call offered now could start, if the backend
+  /// server is cold also by its limit.
+  Duration TimeUntilStart(TimePoint now) const;
+
  private:
   /// Sort key within a priority queue. Self-clocked fair queueing: the tag is a
   /// virtual finish time, which grows by 1 / weight with each call of a client
@@ -102,6 +131,7 @@
   struct Position {
     size_t level = 0;
     QueueKey key;
+    TimePoint offered;
   };
 
   static constexpr size_t kPriorityLevels = 16;
@@ -109,14 +139,27 @@
   static size_t PriorityLevelOf(const Ticket& ticket);
   /// Returns the sort key of `ticket` in `queue`; the least runs first.
   QueueKey QueueKeyOf(PriorityQueue& queue, const Ticket& ticket);
-  void Enqueue(Ticket ticket);
+  void Enqueue(TimePoint now, Ticket ticket);
   Ticket PopFirst();
   Ticket PopLast();
   Ticket Remove(PriorityQueue& queue,
                 std::map<QueueKey, Ticket>::iterator entry);
+  Ticket Evict(PriorityQueue& queue,
+               std::map<QueueKey, Ticket>::iterator entry);
   std::vector<Admission> AdmitWaiting(TimePoint now);
+  void UpdateUsable(TimePoint now);
+  bool MayStart(TimePoint now) const;
+  void Start(TimePoint now);
+  TimePoint StartTime(TimePoint now, size_t ahead) const;
+  TimePoint LatestStart(const Ticket& ticket) const;
+  void RefuseLate(TimePoint now, std::vector<Admission>& admissions);
 
   ConcurrencyLimit m_limit;
+  ColdStartLimit m_cold_limit;
+  TimePoint m_cold_since;
+  uint64_t m_cold_refusals = 0;
+  /// Bound of the concurrent calls during and after a cold period.
+  uint32_t m_usable_slots = UINT32_MAX;
   const uint32_t m_queue_length;
   uint32_t m_in_flight = 0;
   uint64_t m_sequence = 0;
--- a/src/decisions/mesh/backend_presence.cc
+++ b/src/decisions/mesh/backend_presence.cc
@@ -9,6 +9,8 @@
 // Clocks of hosts may differ by this much, so a report may seem to come from a
 // backend server that starts in the future.
 constexpr Duration kMaxClockDifference{3'600'000};
+// A report of a longer cold period is taken for an error of its writer.
+constexpr Duration kMaxColdLeft{3'600'000};
 
 bool IsInFuture(Duration unix_now, Duration born) {
   return born > unix_now + kMaxClockDifference;
@@ -33,7 +35,12 @@
       complete && (*report.state == "ready" ||
                    *report.state == NameOf(BackendState::kLeaving));
   const bool in_future = report.born && IsInFuture(unix_now, *report.born);
-  return known_state && !in_future && *report.address == m_address;
+  const Duration cold_left = report.cold_left.value_or(Duration{0});
+  const bool cold_in_range =
+      cold_left >= Duration{0} && cold_left <= kMaxColdLeft;
+  return known_state && !in_future && cold_in_range &&
+         *report.address == m_address &&
+         (m_service.empty() || *report.service == m_service);
 }
 
 ReportOutcome BackendPresence::OnReport(TimePoint now,
@@ -54,11 +61,14 @@
       (same_incarnation && *report.sequence <= m_sequence)) {
     return ReportOutcome::kStale;
   }
+  // A report that says nothing about the cold period does not end it.
+  if (report.cold_left || !same_incarnation || m_refused) {
+    m_cold_until = now + report.cold_left.value_or(m_cold_start);
+  }
   m_backend = {id, *report.service, BackendState::kReady, *report.slots};
   m_born = born;
   m_sequence = *report.sequence;
   m_last_heard = now;
-  m_cold_until = now + report.cold_left.value_or(Duration{0});
   m_refused = false;
   return ReportOutcome::kAccepted;
 }
@@ -68,11 +78,13 @@
     const std::string& id,
     std::optional<Duration> born) {
   const bool current = !id.empty() && id == m_backend.id;
-  if (id.empty() || (!born && !current) ||
-      IsInFuture(unix_now, born.value_or(m_born))) {
+  // An incarnation that shuts down has started before now, so that the present
+  // time is a bound on its start if the node has not heard from it.
+  const Duration bound = born.value_or(current ? m_born : unix_now);
+  if (id.empty() || IsInFuture(unix_now, bound)) {
     return std::nullopt;
   }
-  const Departure departure{id, born.value_or(m_born)};
+  const Departure departure{id, bound};
   m_departures.Note(departure);
   return departure;
 }
--- a/src/decisions/mesh/mesh_config.cc
+++ b/src/decisions/mesh/mesh_config.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 #include <utility>
 
 namespace rosemarywinch {
@@ -24,6 +25,16 @@
   return Done{};
 }
 
+Result<Done> CheckColdStart(const std::string& service,
+                            const char* field,
+                            double value) {
+  if (!std::isfinite(value) || value < 0) {
+    return Fail(ErrorId::kBadValue, "service " + service + ": " + field +
+                                        " must be a number not below 0");
+  }
+  return Done{};
+}
+
 Result<std::vector<SplitPart>> PartsOf(const std::string& name,
                                        const RouteSpec& spec) {
   std::vector<SplitPart> parts = spec.split;
@@ -78,11 +89,20 @@
     return Fail(ErrorId::kBadValue, "version must be above 0");
   }
   std::shared_ptr<MeshConfig> config(new MeshConfig(std::move(configuration)));
+  BOOST_LEAF_CHECK(config->CheckServices());
   BOOST_LEAF_CHECK(config->AddRoutes());
   BOOST_LEAF_CHECK(config->AddKeys());
   return std::shared_ptr<const MeshConfig>(std::move(config));
 }
 
+Result<Done> MeshConfig::CheckServices() const {
+  for (const auto& [name, spec] : m_configuration.services) {
+    BOOST_LEAF_CHECK(CheckColdStart(name, "cold_start", spec.cold_start));
+    BOOST_LEAF_CHECK(CheckColdStart(name, "cold_rate", spec.cold_rate));
+  }
+  return Done{};
+}
+
 Result<Done> MeshConfig::AddRoutes() {
   for (const auto& [name, spec] : m_configuration.routes) {
     BOOST_LEAF_CHECK(CheckTimes(name, spec));
@@ -142,6 +162,12 @@
   return found == m_configuration.accounts.end() ? nullptr : &found->second;
 }
 
+ServiceSpec MeshConfig::SettingsOf(const std::string& service) const {
+  const auto found = m_configuration.services.find(service);
+  return found == m_configuration.services.end() ? ServiceSpec()
+                                                 : found->second;
+}
+
 bool MeshConfig::HasService(const std::string& name) const {
   return m_configuration.services.contains(name);
 }
--- a/tests/unit-mesh-config.cpp
+++ b/tests/unit-mesh-config.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE mesh_config
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 
 #include "rosemarywinch/adapters/mesh_codec.h"
 #include "rosemarywinch/decisions/fleet/fleet_store.h"
@@ -87,6 +88,11 @@
   BOOST_TEST(
       broken([](auto& c) { c.routes["one"].target_latency = {61'000}; }));
   BOOST_TEST(broken([](auto& c) { c.accounts["bob"].keys = {"k2"}; }));
+  for (const double value : {-1.0, HUGE_VAL, std::nan("")}) {
+    BOOST_TEST(broken([&](auto& c) { c.services["shop"].cold_rate = value; }));
+    BOOST_TEST(broken([&](auto& c) { c.services["shop"].cold_start = value; }));
+  }
+  BOOST_TEST(!broken([](auto& c) { c.services["shop"].cold_rate = 13; }));
   BOOST_TEST(!broken([](auto& c) { c.accounts["bob"].keys = {"k3"}; }));
 }
 
