--- a/gen/rosemarywinch/schema/control.h
+++ b/gen/rosemarywinch/schema/control.h
@@ -370,14 +370,16 @@
   CommandResult result;
   bool in_force = false;
   uint32_t pending_nodes = 0;
+  std::vector<std::string> pending;
 
   bool operator==(const CommandResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 3> kCommandResponseFields{{
+inline constexpr std::array<FieldInfo, 4> kCommandResponseFields{{
     {"result", "", 0, 0, "", "", "", {}},
     {"in_force", "", 0, 0, "", "", "", {}},
     {"pending_nodes", "", 0, 0, "", "", "", {}},
+    {"pending", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -387,6 +389,7 @@
   visit(kCommandResponseFields[0], self.result);
   visit(kCommandResponseFields[1], self.in_force);
   visit(kCommandResponseFields[2], self.pending_nodes);
+  visit(kCommandResponseFields[3], self.pending);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -397,6 +400,7 @@
   visit(kCommandResponseFields[0], self.result, other.result);
   visit(kCommandResponseFields[1], self.in_force, other.in_force);
   visit(kCommandResponseFields[2], self.pending_nodes, other.pending_nodes);
+  visit(kCommandResponseFields[3], self.pending, other.pending);
 }
 
 struct StateRequest {
@@ -482,11 +486,12 @@
   uint32_t voters = 0;
   bool voter = false;
   std::vector<Member> members;
+  std::vector<std::string> evacuated;
 
   bool operator==(const ControlStatus&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 14> kControlStatusFields{{
+inline constexpr std::array<FieldInfo, 15> kControlStatusFields{{
     {"replica_id", "", 0, 0, "", "", "", {}},
     {"instance", "", 0, 0, "", "", "", {}},
     {"cluster", "", 0, 0, "", "", "", {}},
@@ -501,6 +506,7 @@
     {"voters", "", 0, 0, "", "", "", {}},
     {"voter", "", 0, 0, "", "", "", {}},
     {"members", "", 0, 0, "", "", "", {}},
+    {"evacuated", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -521,6 +527,7 @@
   visit(kControlStatusFields[11], self.voters);
   visit(kControlStatusFields[12], self.voter);
   visit(kControlStatusFields[13], self.members);
+  visit(kControlStatusFields[14], self.evacuated);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -543,6 +550,7 @@
   visit(kControlStatusFields[11], self.voters, other.voters);
   visit(kControlStatusFields[12], self.voter, other.voter);
   visit(kControlStatusFields[13], self.members, other.members);
+  visit(kControlStatusFields[14], self.evacuated, other.evacuated);
 }
 
 }  // namespace rosemarywinch
--- a/gen/rosemarywinch/schema/errors.h
+++ b/gen/rosemarywinch/schema/errors.h
@@ -50,6 +50,8 @@
   kMalformedMessage = 307,
   kWrongCluster = 308,
   kOperationReused = 309,
+  kUnknownDataCentre = 310,
+  kLastDataCentre = 311,
   kPortInUse = 401,
   kFolderNotWritable = 402,
   kCorruptRecord = 403,
@@ -63,9 +65,10 @@
   kDraining = 506,
   kRetriesSpent = 507,
   kBackendFailed = 508,
+  kEvacuated = 509,
 };
 
-inline constexpr std::array<EnumEntry<ErrorId>, 46> kErrorIdTable{{
+inline constexpr std::array<EnumEntry<ErrorId>, 49> kErrorIdTable{{
     {ErrorId::kNone, "none", "no error", "", 0},
     {ErrorId::kUnknownSetting, "unknown_setting", "unknown setting",
      "use the similar name given in the message, or see --help", 0},
@@ -150,6 +153,12 @@
     {ErrorId::kOperationReused, "operation_reused",
      "operation id was used for another change",
      "use a new operation id for a new change", 422},
+    {ErrorId::kUnknownDataCentre, "unknown_data_centre",
+     "data centre does not exist", "use a name of the list in the message",
+     400},
+    {ErrorId::kLastDataCentre, "last_data_centre",
+     "the last data centre in use cannot be evacuated",
+     "end the evacuation of another data centre first", 409},
     {ErrorId::kPortInUse, "port_in_use", "port cannot be opened",
      "choose a free port, or 0 to have one assigned", 0},
     {ErrorId::kFolderNotWritable, "folder_not_writable",
@@ -181,6 +190,8 @@
      "stop retrying; a new request has its own budget", 503},
     {ErrorId::kBackendFailed, "backend_failed", "backend server did not answer",
      "try again; the request may have run", 502},
+    {ErrorId::kEvacuated, "evacuated", "data centre of the node is evacuated",
+     "try a node of another data centre, with a new request id", 503},
 }};
 
 constexpr const auto& EnumTable(ErrorId /*tag*/) {
--- a/gen/rosemarywinch/schema/fleet.h
+++ b/gen/rosemarywinch/schema/fleet.h
@@ -268,12 +268,14 @@
 
 struct StartEvacuation {
   std::string data_centre;
+  std::vector<std::string> known;
 
   bool operator==(const StartEvacuation&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 1> kStartEvacuationFields{{
+inline constexpr std::array<FieldInfo, 2> kStartEvacuationFields{{
     {"data_centre", "", 0, 0, "", "", "", {}},
+    {"known", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -281,6 +283,7 @@
 void VisitFields([[maybe_unused]] Self& self,
                  [[maybe_unused]] Visitor&& visit) {
   visit(kStartEvacuationFields[0], self.data_centre);
+  visit(kStartEvacuationFields[1], self.known);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -289,16 +292,19 @@
                      [[maybe_unused]] Other& other,
                      [[maybe_unused]] Visitor&& visit) {
   visit(kStartEvacuationFields[0], self.data_centre, other.data_centre);
+  visit(kStartEvacuationFields[1], self.known, other.known);
 }
 
 struct EndEvacuation {
   std::string data_centre;
+  std::vector<std::string> known;
 
   bool operator==(const EndEvacuation&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 1> kEndEvacuationFields{{
+inline constexpr std::array<FieldInfo, 2> kEndEvacuationFields{{
     {"data_centre", "", 0, 0, "", "", "", {}},
+    {"known", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -306,6 +312,7 @@
 void VisitFields([[maybe_unused]] Self& self,
                  [[maybe_unused]] Visitor&& visit) {
   visit(kEndEvacuationFields[0], self.data_centre);
+  visit(kEndEvacuationFields[1], self.known);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -314,6 +321,7 @@
                      [[maybe_unused]] Other& other,
                      [[maybe_unused]] Visitor&& visit) {
   visit(kEndEvacuationFields[0], self.data_centre, other.data_centre);
+  visit(kEndEvacuationFields[1], self.known, other.known);
 }
 
 struct FleetCommand {
--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -524,11 +524,12 @@
   double pressure = 0;
   bool has_load = false;
   std::vector<ServicePressure> pressure_below;
+  bool evacuated = false;
 
   bool operator==(const HopResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 12> kHopResponseFields{{
+inline constexpr std::array<FieldInfo, 13> kHopResponseFields{{
     {"outcome", "", 0, 0, "", "", "", {}},
     {"reason", "", 0, 0, "", "", "", {}},
     {"status", "", 0, 0, "", "", "", {}},
@@ -541,6 +542,7 @@
     {"pressure", "", 0, 0, "", "", "", {}},
     {"has_load", "", 0, 0, "", "", "", {}},
     {"pressure_below", "", 0, 0, "", "", "", {}},
+    {"evacuated", "", 0, 0, "", "", "", {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -559,6 +561,7 @@
   visit(kHopResponseFields[9], self.pressure);
   visit(kHopResponseFields[10], self.has_load);
   visit(kHopResponseFields[11], self.pressure_below);
+  visit(kHopResponseFields[12], self.evacuated);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -578,6 +581,7 @@
   visit(kHopResponseFields[9], self.pressure, other.pressure);
   visit(kHopResponseFields[10], self.has_load, other.has_load);
   visit(kHopResponseFields[11], self.pressure_below, other.pressure_below);
+  visit(kHopResponseFields[12], self.evacuated, other.evacuated);
 }
 
 }  // namespace rosemarywinch
--- a/gen/rosemarywinch/schema/mesh_settings.h
+++ b/gen/rosemarywinch/schema/mesh_settings.h
@@ -159,11 +159,12 @@
   double quota_window = 5;
   double quota_overage = 0.1;
   double quota_slack = 20;
+  std::string data_centres;
 
   bool operator==(const MeshControlSettings&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 12> kMeshControlSettingsFields{{
+inline constexpr std::array<FieldInfo, 13> kMeshControlSettingsFields{{
     {"node_name", "", 0, 0, "", "name of this replica", "", {}},
     {"operator_address", "", 0, 0, "", "HOST:PORT for operators", "", {}},
     {"peer_address",
@@ -232,6 +233,14 @@
      "requests beyond that fraction that an account may exceed",
      "",
      {}},
+    {"data_centres",
+     "",
+     0,
+     0,
+     "",
+     "all data centres, comma separated; by default those of the nodes",
+     "",
+     {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -250,6 +259,7 @@
   visit(kMeshControlSettingsFields[9], self.quota_window);
   visit(kMeshControlSettingsFields[10], self.quota_overage);
   visit(kMeshControlSettingsFields[11], self.quota_slack);
+  visit(kMeshControlSettingsFields[12], self.data_centres);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -275,6 +285,7 @@
   visit(kMeshControlSettingsFields[10], self.quota_overage,
         other.quota_overage);
   visit(kMeshControlSettingsFields[11], self.quota_slack, other.quota_slack);
+  visit(kMeshControlSettingsFields[12], self.data_centres, other.data_centres);
 }
 
 }  // namespace rosemarywinch
--- a/gen/rosemarywinch/schema/settings.h
+++ b/gen/rosemarywinch/schema/settings.h
@@ -114,11 +114,12 @@
   Duration election_timeout{1000};
   Duration node_lease{3000};
   uint64_t snapshot_entries = 256;
+  std::string data_centres;
 
   bool operator==(const ControlSettings&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 7> kControlSettingsFields{{
+inline constexpr std::array<FieldInfo, 8> kControlSettingsFields{{
     {"replica_id",
      "",
      1,
@@ -161,6 +162,14 @@
      "log entries after which a snapshot is written",
      "",
      {}},
+    {"data_centres",
+     "",
+     0,
+     0,
+     "",
+     "all data centres, comma separated; by default those of the nodes",
+     "",
+     {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -174,6 +183,7 @@
   visit(kControlSettingsFields[4], self.election_timeout);
   visit(kControlSettingsFields[5], self.node_lease);
   visit(kControlSettingsFields[6], self.snapshot_entries);
+  visit(kControlSettingsFields[7], self.data_centres);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -190,6 +200,7 @@
   visit(kControlSettingsFields[5], self.node_lease, other.node_lease);
   visit(kControlSettingsFields[6], self.snapshot_entries,
         other.snapshot_entries);
+  visit(kControlSettingsFields[7], self.data_centres, other.data_centres);
 }
 
 struct NodeSettings {
--- a/include/rosemarywinch/decisions/control/version_tracker.h
+++ b/include/rosemarywinch/decisions/control/version_tracker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "rosemarywinch/core/time.h"
 
@@ -31,9 +32,9 @@
   /// Returns the latest version that is in force everywhere.
   uint64_t InForce(TimePoint now);
 
-  /// Returns how many known nodes may still act on a version older than
+  /// Returns the known nodes that may still act on a version older than
   /// `version`.
-  size_t PendingNodes(TimePoint now, uint64_t version);
+  std::vector<std::string> PendingNodes(TimePoint now, uint64_t version);
 
  private:
   struct NodeRecord {
--- a/include/rosemarywinch/decisions/fleet/fleet_store.h
+++ b/include/rosemarywinch/decisions/fleet/fleet_store.h
@@ -26,7 +26,9 @@
 /// A resent command, recognised by its operation id, returns its first result,
 /// and kOperationReused if it differs from the first. PutConfiguration is
 /// recognised by version and fingerprint instead; RecordDeparture may be
-/// applied any number of times and changes no version. Complexity: linear in
+/// applied any number of times and changes no version. StartEvacuation and
+/// EndEvacuation may come without an operation id; a repeated one succeeds and
+/// changes nothing. Complexity: linear in
 /// the tree for ChangeTree, in the keys for GiveKey.
 CommandResult ApplyCommand(FleetState& state, const FleetCommand& command);
 
--- a/include/rosemarywinch/decisions/traffic/router.h
+++ b/include/rosemarywinch/decisions/traffic/router.h
@@ -22,6 +22,8 @@
   kRefused,
   /// The member could not be reached or did not respond.
   kFailed,
+  /// The member's data centre is evacuated. Says nothing about the member.
+  kEvacuated,
 };
 
 /// Load that a member reports with a response.
@@ -40,6 +42,9 @@
   /// Applies an update of the member list from control.
   void Apply(TimePoint now, const ServiceUpdate& update);
 
+  /// Excludes the members of these data centres from now on, and no others.
+  void SetEvacuated(const std::set<std::string>& data_centres);
+
   /// Chooses a member that is not in `excluded` and counts a call to it: the
   /// least loaded of a few random candidates. Members of the local data centre
   /// are preferred unless they are far busier than the others.
@@ -82,6 +87,7 @@
   double UsableSlots(TimePoint now, const Record& record) const;
 
   static bool IsAvailable(const Record& record);
+  bool IsInUse(TimePoint now, const std::string& data_centre) const;
   double Load(TimePoint now, const Record& record) const;
   std::vector<Record*> Candidates(TimePoint now,
                                   const std::set<std::string>& excluded);
@@ -92,6 +98,10 @@
   const std::string m_data_centre;
   uint64_t m_revision = 0;
   std::map<std::string, Record> m_members;
+  std::set<std::string> m_evacuated;
+  /// Data centres whose members refused calls as evacuated, before this node
+  /// has learnt of it, and when they are tried again.
+  std::map<std::string, TimePoint> m_refusing;
 };
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/interfaces/mesh_protocol.h
+++ b/include/rosemarywinch/interfaces/mesh_protocol.h
@@ -74,8 +74,17 @@
   std::string canonical;
 };
 struct GetConfigurationCall {};
-using OperatorCall =
-    std::variant<PutConfigurationCall, GetConfigurationCall, UnknownCall>;
+struct StartEvacuationCall {
+  std::string data_centre;
+};
+struct EndEvacuationCall {
+  std::string data_centre;
+};
+using OperatorCall = std::variant<PutConfigurationCall,
+                                  GetConfigurationCall,
+                                  StartEvacuationCall,
+                                  EndEvacuationCall,
+                                  UnknownCall>;
 
 /// Encodes and decodes the HTTP messages of callers, backend servers and
 /// operators. Contains names and formats only, no decisions. Implementations
--- a/include/rosemarywinch/programs/backend_dispatcher.h
+++ b/include/rosemarywinch/programs/backend_dispatcher.h
@@ -69,6 +69,10 @@
   /// requests are still returned.
   void StartDraining() { m_draining = true; }
 
+  /// While the data centre of this node is evacuated, rejects requests that
+  /// have not started, waiting ones included.
+  void SetEvacuated(bool evacuated);
+
   RequestContexts& contexts() { return m_contexts; }
   uint32_t InFlight();
   uint32_t Limit();
@@ -111,6 +115,7 @@
   Random& m_random;
   HttpChannel& m_channel;
   std::atomic<bool> m_draining = false;
+  std::atomic<bool> m_evacuated = false;
 
   std::mutex m_backend_mutex;
   std::optional<BackendRecord> m_backend;
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -28,7 +28,11 @@
 /// They are kept in shards, each under its own lock.
 class ControlService : public ConsensusListener {
  public:
-  explicit ControlService(Duration node_lease, QuotaTolerance tolerance = {});
+  /// `data_centres` lists all data centres; if empty, those of the nodes that
+  /// poll count.
+  explicit ControlService(Duration node_lease,
+                          QuotaTolerance tolerance = {},
+                          std::vector<std::string> data_centres = {});
 
   /// Sets the consensus driver. Must be called before the first request.
   void Attach(ConsensusDriver& driver) { m_driver = &driver; }
@@ -48,6 +52,10 @@
   /// Errors: kNotLeader, kNotAccepted, kProtocolVersion.
   Result<CommandResponse> Command(const CommandRequest& request);
 
+  /// Returns the command with the data centres that are known here, if it
+  /// starts or ends an evacuation; others unchanged.
+  FleetCommand WithDataCentres(FleetCommand command);
+
   /// Returns the complete replicated state.
   /// Errors: kNotLeader, kProtocolVersion.
   Result<StateResponse> State(const StateRequest& request);
@@ -116,9 +124,11 @@
                  const PollRequest& request,
                  PollResponse& response);
   CommandResponse WaitInForce(CommandResult result, Duration limit);
+  std::vector<std::string> KnownDataCentres();
 
   const Duration m_lease;
   const QuotaTolerance m_tolerance;
+  const std::vector<std::string> m_data_centres;
   ConsensusDriver* m_driver = nullptr;
   VersionState m_version_state;
   Directory m_directory;
--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -65,6 +65,10 @@
   /// included, and reports it as leaving, because this process is stopping.
   void BeginStop();
 
+  /// While the data centre of this node is evacuated, refuses all requests not
+  /// yet sent to the backend server, queued ones included.
+  void SetEvacuated(bool evacuated);
+
   /// Returns the backend server's state as announced to other nodes.
   std::optional<LocalBackend> Current() const;
 
@@ -73,6 +77,9 @@
 
   size_t open_requests() const;
 
+  /// Returns the number of requests refused because of an evacuation so far.
+  uint64_t evacuation_refusals() const;
+
   /// Sets the source of the pressure on the services that the backend server
   /// calls.
   void SetPressureSource(std::function<std::vector<ServicePressure>()> source) {
@@ -114,6 +121,7 @@
   void FinishRequest(const CallSample& sample);
   void NotifyWaiters(const std::vector<Admission>& admissions);
   void AddLoad(HopResponse& response) const;
+  void MarkEvacuated(HopResponse& response);
   double QueuePressure() const;
   void ReportStateChange(const char* cause);
   void ApplyPresenceChange(const std::optional<LocalBackend>& before);
@@ -128,6 +136,8 @@
   BackendPresence m_presence;
   std::string m_reported_state;
   bool m_stopping = false;
+  bool m_evacuated = false;
+  uint64_t m_evacuation_refusals = 0;
   AdmissionQueue m_queue;
   uint64_t m_next_ticket = 0;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -56,6 +56,17 @@
   /// kWrongCluster for another cluster or an earlier term.
   Result<Done> ApplyTokenPoll(TimePoint sent, const PollResponse& response);
 
+  /// Applies the list of evacuated data centres in a response to a poll. To be
+  /// called before ApplyPoll(), so that a configuration that cannot be applied
+  /// does not delay an evacuation. Errors: kWrongCluster as for ApplyPoll().
+  Result<Done> ApplyEvacuations(const PollResponse& response);
+
+  /// Returns whether this node's data centre is evacuated.
+  bool IsLocalEvacuated() const;
+
+  /// Returns the number of evacuated data centres.
+  size_t evacuated_count() const;
+
   /// Applies the response to a poll that was sent at `sent`. Errors:
   /// kWrongCluster for another cluster or an earlier term, kConflict for an
   /// older configuration, kMalformedMessage, kBadValue.
@@ -134,6 +145,10 @@
     bool needs_whole_document = false;
     TimePoint lease_end;
     TimePoint confirmed;
+    /// Evacuated data centres at the fleet's version `evacuated_version`, kept
+    /// until a poll says otherwise.
+    std::set<std::string> evacuated;
+    uint64_t evacuated_version = 0;
   };
 
   Result<std::string> RestoreDocument(const PackedDocument& packed);
@@ -142,6 +157,7 @@
   void ApplyMembers(const PollResponse& response);
   void ApplyPressures(const PollResponse& response);
   void ApplyQuotas(TimePoint sent, const PollResponse& response);
+  Router& RouterOf(ServiceShard& shard, const std::string& service);
   bool TryTake(const std::string& account, bool first);
   void UpdateQuotaWaiters(const std::string& account,
                           void (QuotaCache::*count)());
--- a/include/rosemarywinch/programs/mesh/operator_call_handler.h
+++ b/include/rosemarywinch/programs/mesh/operator_call_handler.h
@@ -7,31 +7,44 @@
 #include "rosemarywinch/adapters/system.h"
 #include "rosemarywinch/interfaces/mesh_protocol.h"
 #include "rosemarywinch/programs/consensus_driver.h"
+#include "rosemarywinch/programs/control_service.h"
 
 namespace rosemarywinch {
 
 namespace asio = boost::asio;
 
-/// Answers the calls in which operators store and read the configuration. A
-/// replica that does not lead sends them on to the leader. Thread-safe.
+/// Answers the calls in which operators store and read the configuration and
+/// order evacuations. A replica that does not lead sends them on to the leader.
+/// Thread-safe.
 class OperatorCallHandler {
  public:
   /// Operators reach every replica at its address with `operator_port`.
   OperatorCallHandler(uint32_t replica_id,
                       uint16_t operator_port,
                       MeshProtocol& protocol,
+                      ControlService& service,
                       ConsensusDriver& driver)
       : m_replica_id(replica_id),
         m_operator_port(operator_port),
         m_protocol(protocol),
+        m_service(service),
         m_driver(driver) {}
 
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
 
  private:
-  HttpResponse GetConfiguration(const HttpRequest& request);
-  asio::awaitable<HttpResponse> StoreConfiguration(HttpRequest request,
-                                                   PutConfigurationCall call);
+  asio::awaitable<HttpResponse> Execute(HttpRequest request, UnknownCall call);
+  asio::awaitable<HttpResponse> Execute(HttpRequest request,
+                                        GetConfigurationCall call);
+  asio::awaitable<HttpResponse> Execute(HttpRequest request,
+                                        PutConfigurationCall call);
+  asio::awaitable<HttpResponse> Execute(HttpRequest request,
+                                        StartEvacuationCall call);
+  asio::awaitable<HttpResponse> Execute(HttpRequest request,
+                                        EndEvacuationCall call);
+  asio::awaitable<HttpResponse> ChangeEvacuation(HttpRequest request,
+                                                 FleetCommand command);
+  asio::awaitable<Outcome<CommandResult>> Submit(FleetCommand command);
   HttpResponse RespondOrRedirect(const HttpRequest& request,
                                  const Error& error);
   HttpResponse MakeResponse(const Error& error);
@@ -39,6 +52,7 @@
   const uint32_t m_replica_id;
   const uint16_t m_operator_port;
   MeshProtocol& m_protocol;
+  ControlService& m_service;
   ConsensusDriver& m_driver;
   const SodiumHasher m_hasher;
 };
--- a/include/rosemarywinch/programs/node_state.h
+++ b/include/rosemarywinch/programs/node_state.h
@@ -59,6 +59,9 @@
   /// `config_version`.
   bool ApplyPoll(TimePoint sent, const PollResponse& response);
 
+  /// Returns whether the data centre of this node is evacuated.
+  bool IsLocalEvacuated();
+
   /// Returns whether the node holds a share of an allowance that other nodes
   /// could use.
   bool ShouldPollSoon();
@@ -111,6 +114,8 @@
   void RequestPoll(PollReason reason) const;
   uint64_t UpdateCount();
   Router& RouterOf(Routers& routers, const std::string& service);
+  std::set<std::string> Evacuated();
+  void ApplyEvacuations();
 
   const std::string m_data_centre;
   Clock& m_clock;
@@ -125,6 +130,10 @@
   uint64_t m_update_count = 0;
   TimePoint m_lease_end;
 
+  /// Evacuated data centres that the routers exclude. Used only by
+  /// ApplyPoll(), whose calls do not overlap.
+  std::set<std::string> m_applied_evacuations;
+
   Sharded<Buckets> m_buckets;
   Sharded<Routers> m_routers;
 };
--- a/include/rosemarywinch/programs/operator_commands.h
+++ b/include/rosemarywinch/programs/operator_commands.h
@@ -44,6 +44,11 @@
   std::string key_id;
 };
 struct KeyList {};
+struct Evacuate {
+  std::string data_centre;
+  /// Ends the evacuation.
+  bool end = false;
+};
 struct FleetStatus {};
 struct RequestExplain {
   std::string request_id;
@@ -60,6 +65,7 @@
                                      KeyGive,
                                      KeyWithdraw,
                                      KeyList,
+                                     Evacuate,
                                      FleetStatus,
                                      RequestExplain>;
 
@@ -90,6 +96,7 @@
   Result<ExitCode> Execute(const KeyGive& command);
   Result<ExitCode> Execute(const KeyWithdraw& command);
   Result<ExitCode> Execute(const KeyList& command);
+  Result<ExitCode> Execute(const Evacuate& command);
   Result<ExitCode> Execute(const FleetStatus& command);
   Result<ExitCode> Execute(const RequestExplain& command);
 
--- a/src/decisions/control/version_tracker.cc
+++ b/src/decisions/control/version_tracker.cc
@@ -48,11 +48,16 @@
   return m_in_force;
 }
 
-size_t VersionTracker::PendingNodes(TimePoint now, uint64_t version) {
+std::vector<std::string> VersionTracker::PendingNodes(TimePoint now,
+                                                      uint64_t version) {
   ExpireLeases(now);
-  return static_cast<size_t>(std::count_if(
-      m_nodes.begin(), m_nodes.end(),
-      [&](const auto& node) { return node.second.confirmed < version; }));
+  std::vector<std::string> pending;
+  for (const auto& [name, node] : m_nodes) {
+    if (node.confirmed < version) {
+      pending.push_back(name);
+    }
+  }
+  return pending;
 }
 
 void VersionTracker::ExpireLeases(TimePoint now) {
--- a/src/decisions/fleet/fleet_store.cc
+++ b/src/decisions/fleet/fleet_store.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "rosemarywinch/decisions/fleet/departures.h"
+#include "rosemarywinch/decisions/fleet/evacuations.h"
 #include "rosemarywinch/decisions/fleet/policy.h"
 #include "rosemarywinch/decisions/fleet/tree_path.h"
 
@@ -162,18 +163,11 @@
 }
 
 Result<Done> Apply(FleetState& state, const StartEvacuation& change) {
-  const bool evacuated =
-      std::find(state.evacuated.begin(), state.evacuated.end(),
-                change.data_centre) != state.evacuated.end();
-  if (!evacuated) {
-    state.evacuated.push_back(change.data_centre);
-  }
-  return Done{};
+  return ApplyStart(state, change);
 }
 
 Result<Done> Apply(FleetState& state, const EndEvacuation& change) {
-  std::erase(state.evacuated, change.data_centre);
-  return Done{};
+  return ApplyEnd(state, change);
 }
 
 Result<Done> Apply(FleetState&, std::monostate) {
@@ -267,6 +261,26 @@
   return result;
 }
 
+// Applies a command and adds it to the history if it changed the state. A
+// repeated start or stop of an evacuation changes nothing.
+CommandResult ApplyAndRecord(FleetState& state, const FleetCommand& command) {
+  const bool of_evacuation =
+      std::holds_alternative<StartEvacuation>(command.change) ||
+      std::holds_alternative<EndEvacuation>(command.change);
+  const std::vector<std::string> evacuated_before = state.evacuated;
+  CommandResult result;
+  const Outcome<Done> outcome =
+      Capture([&] { return ApplyChange(state, command); });
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    result.error = error->id;
+    result.detail = error->detail;
+  } else if (!of_evacuation || state.evacuated != evacuated_before) {
+    AppendHistory(state, command);
+  }
+  result.version = state.version;
+  return result;
+}
+
 // Applies a command that is identified by its operation id.
 CommandResult ApplyOperation(FleetState& state, const FleetCommand& command) {
   const std::string fingerprint = Describe(command);
@@ -279,16 +293,7 @@
                : CommandResult{ErrorId::kOperationReused, command.operation_id,
                                state.version};
   }
-  CommandResult result;
-  const Outcome<Done> outcome =
-      Capture([&] { return ApplyChange(state, command); });
-  if (const auto* error = std::get_if<Error>(&outcome)) {
-    result.error = error->id;
-    result.detail = error->detail;
-  } else {
-    AppendHistory(state, command);
-  }
-  result.version = state.version;
+  CommandResult result = ApplyAndRecord(state, command);
   state.operations.push_back({command.operation_id, fingerprint, result});
   if (state.operations.size() > kMaxOperations) {
     state.operations.erase(state.operations.begin());
@@ -299,6 +304,11 @@
 }  // namespace
 
 CommandResult ApplyCommand(FleetState& state, const FleetCommand& command) {
+  // The platform's operators send evacuations without an operation id.
+  const auto apply_evacuation = [&] {
+    return command.operation_id.empty() ? ApplyAndRecord(state, command)
+                                        : ApplyOperation(state, command);
+  };
   return std::visit(
       Overloaded{[&](const PutConfiguration&) {
                    return ApplyConfiguration(state, command);
@@ -306,6 +316,8 @@
                  [&](const RecordDeparture& change) {
                    return ApplyDeparture(state, change);
                  },
+                 [&](const StartEvacuation&) { return apply_evacuation(); },
+                 [&](const EndEvacuation&) { return apply_evacuation(); },
                  [&](const auto&) { return ApplyOperation(state, command); }},
       command.change);
 }
--- a/src/decisions/traffic/router.cc
+++ b/src/decisions/traffic/router.cc
@@ -24,6 +24,9 @@
 // is in use and it refuses or fails less than this fraction of its calls.
 constexpr double kMaxLocalUtilisation = 0.85;
 constexpr double kMaxLocalErrorRate = 0.15;
+// Time for which a data centre is excluded after a member refused a call as
+// evacuated; a poll tells within half of it whether there is such an order.
+constexpr Duration kEvacuationHintTtl{1'000};
 
 }  // namespace
 
@@ -53,6 +56,17 @@
   }
 }
 
+void Router::SetEvacuated(const std::set<std::string>& data_centres) {
+  m_evacuated = data_centres;
+  m_refusing.clear();
+}
+
+bool Router::IsInUse(TimePoint now, const std::string& data_centre) const {
+  const auto refusing = m_refusing.find(data_centre);
+  return !m_evacuated.contains(data_centre) &&
+         (refusing == m_refusing.end() || now >= refusing->second);
+}
+
 std::optional<Member> Router::Choose(TimePoint now,
                                      const std::set<std::string>& excluded,
                                      Random& random) {
@@ -93,6 +107,10 @@
   }
   Record& record = found->second;
   record.in_flight -= std::min<uint32_t>(record.in_flight, 1);
+  if (result == CallResult::kEvacuated) {
+    m_refusing[record.member.data_centre] = now + kEvacuationHintTtl;
+    return;
+  }
   if (load) {
     record.load = load;
     record.reported_at = now;
@@ -161,7 +179,8 @@
   std::vector<Record*> ready;
   std::vector<Record*> ejected;
   for (auto& [node, record] : m_members) {
-    if (!IsAvailable(record) || excluded.contains(node)) {
+    if (!IsAvailable(record) || excluded.contains(node) ||
+        !IsInUse(now, record.member.data_centre)) {
       continue;
     }
     (now < record.ejected_until ? ejected : ready).push_back(&record);
--- a/src/programs/backend_dispatcher.cc
+++ b/src/programs/backend_dispatcher.cc
@@ -75,6 +75,13 @@
              : RunIfReady(envelope, std::move(request), deadline);
 }
 
+void BackendDispatcher::SetEvacuated(bool evacuated) {
+  if (m_evacuated.exchange(evacuated) != evacuated && evacuated) {
+    std::scoped_lock lock(m_queue_mutex);
+    NotifyWaiters(m_queue.RefuseWaiting(ErrorId::kEvacuated));
+  }
+}
+
 bool BackendDispatcher::Announce(const Announcement& announcement) {
   bool changed = false;
   bool resized = false;
@@ -166,6 +173,9 @@
   if (m_draining) {
     return Error{ErrorId::kDraining, m_node};
   }
+  if (m_evacuated) {
+    return Error{ErrorId::kEvacuated, m_node};
+  }
   const Announcement backend = Backend();
   const bool serves = backend.service == envelope.service &&
                       (backend.state == BackendState::kReady ||
@@ -225,6 +235,11 @@
     return Refuse(envelope, {admission.reason, envelope.service},
                   m_queue.ExpectedWait());
   }
+  // The evacuation may have begun between the first check and the admission.
+  if (m_evacuated) {
+    FinishCall({0, true});
+    return Refuse(envelope, {ErrorId::kEvacuated, m_node});
+  }
   CallSample sample;
   CallReport report =
       CallBackend(envelope, std::move(request), deadline, sample);
--- a/src/programs/consensus_driver.cc
+++ b/src/programs/consensus_driver.cc
@@ -194,6 +194,7 @@
   status.commit_index = m_replica->commit_index();
   status.snapshot_index = log.snapshot().last_index;
   status.version = m_state.version;
+  status.evacuated = m_state.evacuated;
   status.voters = static_cast<uint32_t>(log.Voters().size());
   status.voter = m_replica->IsVoter();
   return status;
--- a/src/programs/control_poller.cc
+++ b/src/programs/control_poller.cc
@@ -123,6 +123,7 @@
   const auto& response = std::get<PollResponse>(outcome);
   const bool applied = response.sequence == request.sequence &&
                        m_state.ApplyPoll(sent, response);
+  m_dispatcher.SetEvacuated(m_state.IsLocalEvacuated());
   LogReachability(
       applied, applied ? "" : "stale poll response, or one of another cluster");
 }
--- a/src/programs/control_server.cc
+++ b/src/programs/control_server.cc
@@ -13,6 +13,7 @@
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "rosemarywinch/programs/control_client.h"
 #include "rosemarywinch/programs/control_service.h"
+#include "rosemarywinch/programs/mesh/seed_watcher.h"
 #include "rosemarywinch/programs/servers.h"
 
 namespace rosemarywinch {
@@ -89,7 +90,8 @@
   auto peers = replicas;
   peers.erase(settings.replica_id);
   RpcPeerTransport transport(peers, channel);
-  ControlService service(settings.node_lease);
+  ControlService service(settings.node_lease, {},
+                         SplitList(settings.data_centres));
   ConsensusDriver driver(DriverOptions(settings, replicas), clock, random,
                          storage, transport, service);
   service.Attach(driver);
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 #include "rosemarywinch/adapters/mesh_codec.h"
@@ -28,9 +29,12 @@
 
 }  // namespace
 
-ControlService::ControlService(Duration node_lease, QuotaTolerance tolerance)
+ControlService::ControlService(Duration node_lease,
+                               QuotaTolerance tolerance,
+                               std::vector<std::string> data_centres)
     : m_lease(node_lease),
       m_tolerance(tolerance),
+      m_data_centres(std::move(data_centres)),
       m_version_state(node_lease),
       m_directory(LessorLeaseDuration(node_lease)) {}
 
@@ -54,6 +58,7 @@
     return response;
   }
   AddFleetState(*view.state, request.config_version, response);
+  response.evacuated = view.state->evacuated;
   BOOST_LEAF_CHECK(AddMeshConfiguration(view, request, response));
   AddDepartures(*view.state, request, response);
   AddMembers(view.now, request, response);
@@ -69,13 +74,36 @@
 
 Result<CommandResponse> ControlService::Command(const CommandRequest& request) {
   BOOST_LEAF_CHECK(CheckProtocol(request.protocol_version));
-  BOOST_LEAF_AUTO(result, m_driver->Submit(request.command, kCommitTimeout));
+  BOOST_LEAF_AUTO(result, m_driver->Submit(WithDataCentres(request.command),
+                                           kCommitTimeout));
   if (result.error != ErrorId::kNone) {
-    return CommandResponse{std::move(result), false, 0};
+    return CommandResponse{std::move(result), false, 0, {}};
   }
   return WaitInForce(std::move(result), request.wait);
 }
 
+FleetCommand ControlService::WithDataCentres(FleetCommand command) {
+  std::visit(
+      Overloaded{
+          [&](StartEvacuation& change) { change.known = KnownDataCentres(); },
+          [&](EndEvacuation& change) { change.known = KnownDataCentres(); },
+          [](const auto&) {}},
+      command.change);
+  return command;
+}
+
+std::vector<std::string> ControlService::KnownDataCentres() {
+  if (!m_data_centres.empty()) {
+    return m_data_centres;
+  }
+  std::set<std::string> names;
+  std::scoped_lock lock(m_directory.mutex);
+  for (const Member& member : m_directory.members.Members()) {
+    names.insert(member.data_centre);
+  }
+  return {names.begin(), names.end()};
+}
+
 Result<StateResponse> ControlService::State(const StateRequest& request) {
   BOOST_LEAF_CHECK(CheckProtocol(request.protocol_version));
   BOOST_LEAF_AUTO(view, m_driver->ReadAsLeader());
@@ -148,6 +176,7 @@
   copy.version = state.version;
   copy.tree = state.tree;
   copy.keys = state.keys;
+  copy.evacuated = state.evacuated;
   response.state = std::move(copy);
 }
 
@@ -307,7 +336,7 @@
                                             Duration limit) {
   const auto deadline =
       std::chrono::steady_clock::now() + std::chrono::milliseconds(limit.ms);
-  CommandResponse response{std::move(result), false, 0};
+  CommandResponse response{std::move(result), false, 0, {}};
   const uint64_t version = response.result.version;
   while (true) {
     const auto view = Capture([&] { return m_driver->ReadAsLeader(); });
@@ -318,8 +347,8 @@
     std::unique_lock lock(m_version_state.mutex);
     const TimePoint now = leader->now;
     response.in_force = m_version_state.versions.InForce(now) >= version;
-    response.pending_nodes = static_cast<uint32_t>(
-        m_version_state.versions.PendingNodes(now, version));
+    response.pending = m_version_state.versions.PendingNodes(now, version);
+    response.pending_nodes = static_cast<uint32_t>(response.pending.size());
     if (response.in_force || std::chrono::steady_clock::now() >= deadline) {
       return response;
     }
--- a/src/programs/forwarder.cc
+++ b/src/programs/forwarder.cc
@@ -25,6 +25,7 @@
     case ErrorId::kDraining:
     case ErrorId::kNoBackend:
     case ErrorId::kUnreachable:
+    case ErrorId::kEvacuated:
       return true;
     default:
       return false;
@@ -50,7 +51,17 @@
   return report;
 }
 
+// All members of an evacuated data centre refuse at once, so that a refusal for
+// this reason costs no retry. The router then excludes the data centre.
+bool IsEvacuated(const CallOutcome& outcome) {
+  const auto* refused = std::get_if<NotRun>(&outcome);
+  return refused != nullptr && refused->error.id == ErrorId::kEvacuated;
+}
+
 CallResult ResultOf(const CallOutcome& outcome) {
+  if (IsEvacuated(outcome)) {
+    return CallResult::kEvacuated;
+  }
   return std::visit(
       Overloaded{[](const Ran&) { return CallResult::kAnswered; },
                  [](const NotRun& refused) {
@@ -102,10 +113,12 @@
     report = Attempt(envelope, request, *member);
     report.retries_left += reserved;
     tried.insert(member->node);
-    const bool retry = !bound && report.retries_left > 0 &&
-                       MayRetry(envelope, report.outcome) &&
-                       m_clock.Now() < deadline && TakeRetry();
-    if (!retry) {
+    const bool may_retry = !bound && MayRetry(envelope, report.outcome) &&
+                           m_clock.Now() < deadline;
+    if (may_retry && IsEvacuated(report.outcome)) {
+      continue;
+    }
+    if (!may_retry || report.retries_left == 0 || !TakeRetry()) {
       return report;
     }
     --report.retries_left;
--- a/src/programs/main.cc
+++ b/src/programs/main.cc
@@ -34,6 +34,7 @@
     AddServers();
     AddTree();
     AddKey();
+    AddEvacuate();
     AddStatus();
     AddCheck();
     AddMesh();
@@ -165,6 +166,14 @@
                        std::make_shared<KeyList>());
   }
 
+  void AddEvacuate() {
+    auto evacuate = std::make_shared<Evacuate>();
+    CLI::App* app = AddOperatorCommand(
+        &m_app, "evacuate", "take a data centre out of use", evacuate);
+    app->add_option("data_centre", evacuate->data_centre)->required();
+    app->add_flag("--end", evacuate->end, "put it into use again");
+  }
+
   void AddStatus() {
     CLI::App* app =
         AddSubcommand(
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -147,6 +147,13 @@
   RefuseWaiting(ErrorId::kDraining);
 }
 
+void BackendProxy::SetEvacuated(bool evacuated) {
+  std::scoped_lock lock(m_mutex);
+  if (std::exchange(m_evacuated, evacuated) != evacuated && evacuated) {
+    RefuseWaiting(ErrorId::kNoBackend);
+  }
+}
+
 // Requires m_mutex to be held. Callers of a request that waits can still go to
 // another node.
 void BackendProxy::RefuseWaiting(ErrorId reason) {
@@ -181,7 +188,8 @@
     const std::string& service) const {
   std::scoped_lock lock(m_mutex);
   const auto current = m_presence.Current(m_clock.Now());
-  const bool serves = current && !m_stopping && current->service == service &&
+  const bool serves = current && !m_stopping && !m_evacuated &&
+                      current->service == service &&
                       current->state != BackendState::kLeaving;
   return serves ? current : std::nullopt;
 }
@@ -206,6 +214,7 @@
                    response.outcome != HopOutcome::kAnswered});
   }
   AddLoad(response);
+  MarkEvacuated(response);
   co_return response;
 }
 
@@ -221,6 +230,9 @@
     if (m_stopping) {
       co_return ErrorId::kDraining;
     }
+    if (m_evacuated) {
+      co_return ErrorId::kNoBackend;
+    }
     id = ++m_next_ticket;
     Ticket ticket;
     ticket.id = id;
@@ -358,6 +370,25 @@
   response.waiting = static_cast<uint32_t>(m_queue.waiting());
 }
 
+// Tells the sender of a request that was refused for an evacuation to try
+// another data centre. Nothing was sent to the backend server.
+void BackendProxy::MarkEvacuated(HopResponse& response) {
+  const bool refused = response.outcome == HopOutcome::kNotRun &&
+                       !response.reached_backend &&
+                       response.reason != ErrorId::kDeadlinePassed;
+  std::scoped_lock lock(m_mutex);
+  response.evacuated = m_evacuated && refused;
+  if (response.evacuated) {
+    response.reason = ErrorId::kNoBackend;
+    ++m_evacuation_refusals;
+  }
+}
+
+uint64_t BackendProxy::evacuation_refusals() const {
+  std::scoped_lock lock(m_mutex);
+  return m_evacuation_refusals;
+}
+
 size_t BackendProxy::open_requests() const {
   std::scoped_lock lock(m_mutex);
   return m_queue.in_flight() + m_queue.waiting();
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -82,7 +82,8 @@
         m_storage(settings.data_folder),
         m_service(settings.withdrawal_limit * kLeasePercent / kPercent,
                   {settings.quota_window, settings.quota_overage,
-                   settings.quota_slack}),
+                   settings.quota_slack},
+                  SplitList(settings.data_centres)),
         m_driver(DriverOptions(settings),
                  m_clock,
                  m_random,
@@ -93,6 +94,7 @@
         m_operator_calls(Ipv4AsUint(settings.peer_address),
                          PortOf(settings.operator_address).value_or(0),
                          protocol,
+                         m_service,
                          m_driver),
         m_listener(
             m_runtime.context(),
@@ -181,6 +183,8 @@
     m_metrics.Set("control_term", static_cast<double>(status.term));
     m_metrics.Set("control_commit_index",
                   static_cast<double>(status.commit_index));
+    m_metrics.Set("control_evacuated_data_centres",
+                  static_cast<double>(status.evacuated.size()));
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = m_metrics.Text();
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -146,6 +146,10 @@
   }
 
   asio::awaitable<HttpResponse> HandleMetrics() {
+    m_metrics.Set("evacuated_data_centres",
+                  static_cast<double>(m_view.evacuated_count()));
+    m_metrics.Set("evacuation_refusals",
+                  static_cast<double>(m_backend_proxy.evacuation_refusals()));
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = m_metrics.Text();
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -185,6 +185,8 @@
   m_leader = replica;
   m_replicas = {reply.response->replicas.begin(),
                 reply.response->replicas.end()};
+  BOOST_LEAF_CHECK(m_view.ApplyEvacuations(*reply.response));
+  m_backend_proxy.SetEvacuated(m_view.IsLocalEvacuated());
   BOOST_LEAF_CHECK(m_view.ApplyPoll(sent, *reply.response));
   if (reply.response->departures_known) {
     m_backend_proxy.OnDeparturesStored(reply.response->departures);
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -8,6 +8,7 @@
 #include "rosemarywinch/adapters/log.h"
 #include "rosemarywinch/adapters/mesh_codec.h"
 #include "rosemarywinch/adapters/text_packer.h"
+#include "rosemarywinch/programs/evacuation_log.h"
 
 namespace rosemarywinch {
 
@@ -61,8 +62,7 @@
     for (const auto& service : config->services()) {
       const std::string& name = service.first;
       const uint64_t revision = m_services.With(name, [&](ServiceShard& shard) {
-        return shard.routers.try_emplace(name, m_data_centre)
-            .first->second.revision();
+        return RouterOf(shard, name).revision();
       });
       request.services.push_back({name, revision});
     }
@@ -124,6 +124,49 @@
   return Done{};
 }
 
+Result<Done> MeshView::ApplyEvacuations(const PollResponse& response) {
+  BOOST_LEAF_CHECK(CheckSender(response));
+  const std::set<std::string> evacuated(response.evacuated.begin(),
+                                        response.evacuated.end());
+  std::set<std::string> before;
+  {
+    std::scoped_lock lock(m_mutex);
+    if (response.config_version < m_control_state.evacuated_version) {
+      return Done{};
+    }
+    m_control_state.evacuated_version = response.config_version;
+    before = std::exchange(m_control_state.evacuated, evacuated);
+  }
+  if (before != evacuated) {
+    LogEvacuationChange(before, evacuated);
+    m_services.ForEach([&](ServiceShard& shard) {
+      for (auto& [service, router] : shard.routers) {
+        router.SetEvacuated(evacuated);
+      }
+    });
+  }
+  return Done{};
+}
+
+bool MeshView::IsLocalEvacuated() const {
+  std::scoped_lock lock(m_mutex);
+  return m_control_state.evacuated.contains(m_data_centre);
+}
+
+size_t MeshView::evacuated_count() const {
+  std::scoped_lock lock(m_mutex);
+  return m_control_state.evacuated.size();
+}
+
+Router& MeshView::RouterOf(ServiceShard& shard, const std::string& service) {
+  const auto [entry, added] = shard.routers.try_emplace(service, m_data_centre);
+  if (added) {
+    std::scoped_lock lock(m_mutex);
+    entry->second.SetEvacuated(m_control_state.evacuated);
+  }
+  return entry->second;
+}
+
 // A document that cannot be restored is asked for as a whole with the next
 // poll.
 Result<std::string> MeshView::RestoreDocument(const PackedDocument& packed) {
@@ -180,8 +223,7 @@
   const TimePoint now = m_clock.Now();
   for (const ServiceUpdate& update : response.services) {
     m_services.With(update.service, [&](ServiceShard& shard) {
-      shard.routers.try_emplace(update.service, m_data_centre)
-          .first->second.Apply(now, update);
+      RouterOf(shard, update.service).Apply(now, update);
     });
   }
 }
--- a/src/programs/mesh/operator_call_handler.cc
+++ b/src/programs/mesh/operator_call_handler.cc
@@ -9,6 +9,7 @@
 #include "rosemarywinch/adapters/async/one_shot.h"
 #include "rosemarywinch/adapters/log.h"
 #include "rosemarywinch/core/text_value.h"
+#include "rosemarywinch/decisions/fleet/fleet_store.h"
 #include "rosemarywinch/decisions/mesh/mesh_config.h"
 
 namespace rosemarywinch {
@@ -20,36 +21,40 @@
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kPreconditionFailed = 412;
+constexpr const char* kAuthor = "operator";
 
 }  // namespace
 
 asio::awaitable<HttpResponse> OperatorCallHandler::Handle(HttpRequest request) {
   OperatorCall call = m_protocol.ReadOperatorCall(request);
-  if (auto* put = std::get_if<PutConfigurationCall>(&call)) {
-    co_return co_await StoreConfiguration(request, std::move(*put));
-  }
-  if (const auto* unknown = std::get_if<UnknownCall>(&call)) {
-    LogEvent(LogLevel::kInfo, "operator_call_refused",
-             {{"error", unknown->error.Message()}});
-    co_return MakeResponse(unknown->error);
-  }
-  co_return GetConfiguration(request);
+  return std::visit(
+      [&](auto& kind) { return Execute(std::move(request), std::move(kind)); },
+      call);
+}
+
+asio::awaitable<HttpResponse> OperatorCallHandler::Execute(HttpRequest,
+                                                           UnknownCall call) {
+  LogEvent(LogLevel::kInfo, "operator_call_refused",
+           {{"error", call.error.Message()}});
+  co_return MakeResponse(call.error);
 }
 
-HttpResponse OperatorCallHandler::GetConfiguration(const HttpRequest& request) {
+asio::awaitable<HttpResponse> OperatorCallHandler::Execute(
+    HttpRequest request,
+    GetConfigurationCall) {
   const auto view = Capture([&] { return m_driver.ReadAsLeader(); });
   if (const auto* error = std::get_if<Error>(&view)) {
-    return RespondOrRedirect(request, *error);
+    co_return RespondOrRedirect(request, *error);
   }
   const auto& record =
       std::get<ConsensusDriver::LeaderView>(view).state->configuration;
   if (record.version == 0) {
-    return MakeResponse({ErrorId::kCutOff, "no configuration yet"});
+    co_return MakeResponse({ErrorId::kCutOff, "no configuration yet"});
   }
-  return m_protocol.WriteConfiguration(record.document);
+  co_return m_protocol.WriteConfiguration(record.document);
 }
 
-asio::awaitable<HttpResponse> OperatorCallHandler::StoreConfiguration(
+asio::awaitable<HttpResponse> OperatorCallHandler::Execute(
     HttpRequest request,
     PutConfigurationCall call) {
   const std::string version = std::to_string(call.configuration.version);
@@ -65,25 +70,13 @@
              {{"version", version}, {"error", error->Message()}});
     co_return MakeResponse(*error);
   }
-  using Accepted = OneShot<Outcome<CommandResult>>;
-  const auto accepted =
-      std::make_shared<Accepted>(co_await asio::this_coro::executor);
   FleetCommand command;
-  command.author = "operator";
   command.change = std::move(change);
-  m_driver.SubmitAsync(std::move(command),
-                       [accepted](Outcome<CommandResult> outcome) {
-                         accepted->Set(std::move(outcome));
-                       });
-  const auto outcome = co_await accepted->Wait(kCommitTimeout);
-  if (!outcome) {
-    co_return MakeResponse(
-        {ErrorId::kNotAccepted, "no quorum acknowledged the command in time"});
-  }
-  if (const auto* error = std::get_if<Error>(&*outcome)) {
+  const auto outcome = co_await Submit(std::move(command));
+  if (const auto* error = std::get_if<Error>(&outcome)) {
     co_return RespondOrRedirect(request, *error);
   }
-  const auto& result = std::get<CommandResult>(*outcome);
+  const auto& result = std::get<CommandResult>(outcome);
   LogEvent(LogLevel::kInfo, "configuration_put",
            {{"version", version},
             {"result", std::string(NameOf(result.error))},
@@ -91,6 +84,58 @@
   co_return MakeResponse({result.error, result.detail});
 }
 
+asio::awaitable<HttpResponse> OperatorCallHandler::Execute(
+    HttpRequest request,
+    StartEvacuationCall call) {
+  FleetCommand command;
+  command.change = StartEvacuation{std::move(call.data_centre), {}};
+  return ChangeEvacuation(std::move(request), std::move(command));
+}
+
+asio::awaitable<HttpResponse> OperatorCallHandler::Execute(
+    HttpRequest request,
+    EndEvacuationCall call) {
+  FleetCommand command;
+  command.change = EndEvacuation{std::move(call.data_centre), {}};
+  return ChangeEvacuation(std::move(request), std::move(command));
+}
+
+asio::awaitable<HttpResponse> OperatorCallHandler::ChangeEvacuation(
+    HttpRequest request,
+    FleetCommand command) {
+  const std::string text = Describe(command);
+  const auto outcome =
+      co_await Submit(m_service.WithDataCentres(std::move(command)));
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    co_return RespondOrRedirect(request, *error);
+  }
+  const auto& result = std::get<CommandResult>(outcome);
+  LogEvent(LogLevel::kInfo, "evacuation_order",
+           {{"order", text},
+            {"result", std::string(NameOf(result.error))},
+            {"version", std::to_string(result.version)}});
+  co_return MakeResponse({result.error, result.detail});
+}
+
+// Commits a command within the time for which an operator's client waits.
+asio::awaitable<Outcome<CommandResult>> OperatorCallHandler::Submit(
+    FleetCommand command) {
+  using Accepted = OneShot<Outcome<CommandResult>>;
+  const auto accepted =
+      std::make_shared<Accepted>(co_await asio::this_coro::executor);
+  command.author = kAuthor;
+  m_driver.SubmitAsync(std::move(command),
+                       [accepted](Outcome<CommandResult> outcome) {
+                         accepted->Set(std::move(outcome));
+                       });
+  auto outcome = co_await accepted->Wait(kCommitTimeout);
+  if (!outcome) {
+    co_return Error{ErrorId::kNotAccepted,
+                    "no quorum acknowledged the command in time"};
+  }
+  co_return std::move(*outcome);
+}
+
 HttpResponse OperatorCallHandler::RespondOrRedirect(const HttpRequest& request,
                                                     const Error& error) {
   const auto leader = ParseWhole<uint32_t>(error.detail);
@@ -121,6 +166,8 @@
       refusal.status = kBadRequest;
       break;
     case ErrorId::kUnknownRoute:
+    case ErrorId::kUnknownDataCentre:
+    case ErrorId::kLastDataCentre:
       break;
     default:
       refusal.status = kUnavailable;
--- a/src/programs/mesh/outbound_proxy.cc
+++ b/src/programs/mesh/outbound_proxy.cc
@@ -27,6 +27,9 @@
 }
 
 CallResult ResultOf(const HopResponse& response) {
+  if (response.evacuated) {
+    return CallResult::kEvacuated;
+  }
   if (response.outcome == HopOutcome::kNotRun) {
     return response.reason == ErrorId::kUnreachable ? CallResult::kFailed
                                                     : CallResult::kRefused;
@@ -62,8 +65,12 @@
 
 // Returns the pressure on the member itself, without that on its dependencies.
 // A member that did not answer by the deadline counts as overloaded; one that
-// could not be reached gives no information.
+// could not be reached, or whose data centre is evacuated, gives no
+// information.
 std::optional<double> PressureOf(const HopResponse& response) {
+  if (response.evacuated) {
+    return std::nullopt;
+  }
   if (response.has_load) {
     return response.pressure;
   }
@@ -204,7 +211,7 @@
     if (!ShouldRetry(state)) {
       co_return;
     }
-    const bool costs_retry = state.reached_count > 0;
+    const bool costs_retry = state.reached_count > 0 && !state.last.evacuated;
     if (costs_retry && !m_view.TryRetry(state.hop.service)) {
       co_return;
     }
@@ -226,9 +233,12 @@
   if (const auto pressure = PressureOf(response)) {
     RecordPressure(state, *pressure, response.pressure_below);
   }
+  // The whole data centre refuses at once, so that these refusals would use up
+  // the attempts of a request. At most one comes from each data centre, since
+  // the router excludes it then.
   if (response.reached_backend) {
     ++state.reached_count;
-  } else {
+  } else if (!response.evacuated) {
     ++state.rejected_count;
   }
   if (response.outcome != HopOutcome::kAnswered) {
--- a/src/programs/node_state.cc
+++ b/src/programs/node_state.cc
@@ -5,6 +5,7 @@
 
 #include "rosemarywinch/decisions/consensus/replica.h"
 #include "rosemarywinch/decisions/fleet/fleet_store.h"
+#include "rosemarywinch/programs/evacuation_log.h"
 
 namespace rosemarywinch {
 
@@ -70,6 +71,7 @@
     }
     m_lease_end = std::max(m_lease_end, lease_end);
   }
+  ApplyEvacuations();
   const TimePoint now = m_clock.Now();
   for (const ServiceUpdate& update : response.services) {
     m_routers.With(update.service, [&](Routers& routers) {
@@ -216,7 +218,39 @@
 }
 
 Router& NodeState::RouterOf(Routers& routers, const std::string& service) {
-  return routers.try_emplace(service, m_data_centre).first->second;
+  const auto [entry, added] = routers.try_emplace(service, m_data_centre);
+  if (added) {
+    entry->second.SetEvacuated(Evacuated());
+  }
+  return entry->second;
+}
+
+std::set<std::string> NodeState::Evacuated() {
+  const auto config = Config();
+  if (config == nullptr) {
+    return {};
+  }
+  const auto& names = config->state.evacuated;
+  return {names.begin(), names.end()};
+}
+
+bool NodeState::IsLocalEvacuated() {
+  return Evacuated().contains(m_data_centre);
+}
+
+void NodeState::ApplyEvacuations() {
+  const std::set<std::string> evacuated = Evacuated();
+  const std::set<std::string> before =
+      std::exchange(m_applied_evacuations, evacuated);
+  if (before == evacuated) {
+    return;
+  }
+  LogEvacuationChange(before, evacuated);
+  m_routers.ForEach([&](Routers& routers) {
+    for (auto& [service, router] : routers) {
+      router.SetEvacuated(evacuated);
+    }
+  });
 }
 
 }  // namespace rosemarywinch
--- a/src/programs/operator_commands.cc
+++ b/src/programs/operator_commands.cc
@@ -177,6 +177,13 @@
   return ExitCode::kSuccess;
 }
 
+Result<ExitCode> OperatorCommands::Execute(const Evacuate& command) {
+  if (command.end) {
+    return Submit(EndEvacuation{command.data_centre, {}});
+  }
+  return Submit(StartEvacuation{command.data_centre, {}});
+}
+
 Result<ExitCode> OperatorCommands::Execute(const FleetStatus&) {
   // Finds the leader, which alone knows the members and the version in force.
   BOOST_LEAF_CHECK(ReadState());
@@ -187,6 +194,9 @@
             << status.voters << " voting replicas\n"
             << "version " << status.version
             << ", in force everywhere: " << status.in_force_version << "\n";
+  for (const std::string& data_centre : status.evacuated) {
+    std::cout << "evacuated: " << data_centre << "\n";
+  }
   for (const Member& member : status.members) {
     std::cout << "  " << member.service << "  " << member.address << "  "
               << member.data_centre << "  " << NameOf(member.state) << "\n";
@@ -262,6 +272,9 @@
       << "accepted at version " << result.version << "; "
       << response.pending_nodes
       << " nodes have not confirmed it yet; the change will not be lost\n";
+  for (const std::string& node : response.pending) {
+    std::cout << "  pending: " << node << "\n";
+  }
   return ExitCode::kNotYetInForce;
 }
 
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -125,16 +125,19 @@
         "node_name = " + name + "\noperator_address = " + At(host, m_ports[1]) +
             "\npeer_address = " + At(host, m_ports[4]) + "\nseeds = " +
             Seeds() + "\ndata_folder = " + folder.At(name + "d") +
-            "\nfounding = " + (founding ? "true" : "false") + "\n");
+            "\nfounding = " + (founding ? "true" : "false") +
+            "\ndata_centres = dc,dc-b\n");
   }
 
-  void StartNode(size_t i, const std::string& service) {
+  void StartNode(size_t i,
+                 const std::string& service,
+                 const std::string& data_centre = "dc") {
     const std::string name = "node" + std::to_string(i);
     nodes.resize(std::max(nodes.size(), i + 1));
     nodes[i] = Start(
         name, "node",
-        "node_name = " + name + "\ndata_centre = dc\nservice = " + service +
-            "\nbackend_address = " + Backend(i) +
+        "node_name = " + name + "\ndata_centre = " + data_centre +
+            "\nservice = " + service + "\nbackend_address = " + Backend(i) +
             "\ncaller_address = " + Callers(i) +
             "\nlocal_address = " + Local(i) + "\nready_address = " + Ready(i) +
             "\npeer_address = " + At(NodeHost(i), m_ports[4]) +
