--- a/tests/unit-evacuation-calls.cpp
+++ b/tests/unit-evacuation-calls.cpp
@@ -213,8 +213,8 @@
   proxy.SetEvacuated(true);
   BOOST_TEST(WaitUntil([&] { return proxy.open_requests() < kCalls; }));
   responses.push_back(Send("late"));
-  BOOST_TEST(responses.back().wait_for(std::chrono::seconds(20)) ==
-             std::future_status::ready);
+  BOOST_TEST((responses.back().wait_for(std::chrono::seconds(20)) ==
+              std::future_status::ready));
   backend.delay_ms = 0;
   size_t answered = 0;
   for (auto& future : responses) {
--- a/tests/unit-evacuation.cpp
+++ b/tests/unit-evacuation.cpp
@@ -111,7 +111,9 @@
   ApplyCommand(state, End("dc1"));
   ApplyCommand(state, Start("dc2"));
   FleetState node;
-  for (const HistoryRecord& record : *CommandsAfter(state, 0)) {
+  const auto commands = CommandsAfter(state, 0);
+  BOOST_REQUIRE(commands);
+  for (const HistoryRecord& record : *commands) {
     ApplyAccepted(node, record);
   }
   BOOST_TEST(node.version == state.version);
