--- a/gen/rosemarywinch/schema/config_check.h
+++ b/gen/rosemarywinch/schema/config_check.h
@@ -60,9 +60,9 @@
 };
 
 inline constexpr std::array<FieldInfo, 3> kConfigFindingFields{{
-    {"kind", "", 0, 0, "", "", "", {}},
-    {"entry", "", 0, 0, "", "", "", {}},
-    {"text", "", 0, 0, "", "", "", {}},
+    {"kind", "", 0, 0, "", "", "", {}, 1, {}},
+    {"entry", "", 0, 0, "", "", "", {}, 2, {}},
+    {"text", "", 0, 0, "", "", "", {}, 3, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -95,11 +95,11 @@
 };
 
 inline constexpr std::array<FieldInfo, 5> kConfigDifferenceFields{{
-    {"kind", "", 0, 0, "", "", "", {}},
-    {"entry", "", 0, 0, "", "", "", {}},
-    {"field", "", 0, 0, "", "", "", {}},
-    {"before", "", 0, 0, "", "", "", {}},
-    {"after", "", 0, 0, "", "", "", {}},
+    {"kind", "", 0, 0, "", "", "", {}, 1, {}},
+    {"entry", "", 0, 0, "", "", "", {}, 2, {}},
+    {"field", "", 0, 0, "", "", "", {}, 3, {}},
+    {"before", "", 0, 0, "", "", "", {}, 4, {}},
+    {"after", "", 0, 0, "", "", "", {}, 5, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -133,8 +133,8 @@
 };
 
 inline constexpr std::array<FieldInfo, 2> kConfigReportFields{{
-    {"findings", "", 0, 0, "", "", "", {}},
-    {"differences", "", 0, 0, "", "", "", {}},
+    {"findings", "", 0, 0, "", "", "", {}, 1, {}},
+    {"differences", "", 0, 0, "", "", "", {}, 2, {}},
 }};
 
 template <typename Self, typename Visitor>
--- a/gen/rosemarywinch/schema/settings.h
+++ b/gen/rosemarywinch/schema/settings.h
@@ -129,11 +129,12 @@
   Duration election_timeout{1000};
   Duration node_lease{3000};
   uint64_t snapshot_entries = 256;
+  std::string data_centres;
 
   bool operator==(const ControlSettings&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 7> kControlSettingsFields{{
+inline constexpr std::array<FieldInfo, 8> kControlSettingsFields{{
     {"replica_id",
      "",
      1,
@@ -204,6 +205,16 @@
      {},
      7,
      {}},
+    {"data_centres",
+     "",
+     0,
+     0,
+     "",
+     "all data centres, comma separated; by default those of the nodes",
+     "",
+     {},
+     8,
+     {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -217,6 +228,7 @@
   visit(kControlSettingsFields[4], self.election_timeout);
   visit(kControlSettingsFields[5], self.node_lease);
   visit(kControlSettingsFields[6], self.snapshot_entries);
+  visit(kControlSettingsFields[7], self.data_centres);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -233,6 +245,7 @@
   visit(kControlSettingsFields[5], self.node_lease, other.node_lease);
   visit(kControlSettingsFields[6], self.snapshot_entries,
         other.snapshot_entries);
+  visit(kControlSettingsFields[7], self.data_centres, other.data_centres);
 }
 
 struct NodeSettings {
--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -66,6 +66,10 @@
   /// included, and reports it as leaving, because this process is stopping.
   void BeginStop();
 
+  /// While the data centre of this node is evacuated, refuses all requests not
+  /// yet sent to the backend server, queued ones included.
+  void SetEvacuated(bool evacuated);
+
   /// Returns the backend server's state as announced to other nodes.
   std::optional<LocalBackend> Current() const;
 
@@ -78,6 +82,9 @@
   /// without a backend server or if no time has passed.
   std::optional<BackendLoad> TakeLoad();
 
+  /// Returns the number of requests refused because of an evacuation so far.
+  uint64_t evacuation_refusals() const;
+
   /// Sets the source of the pressure on the services that the backend server
   /// calls.
   void SetPressureSource(std::function<std::vector<ServicePressure>()> source) {
@@ -120,6 +127,7 @@
   void NotifyWaiters(const std::vector<Admission>& admissions);
   void MeasureEnd(const HopResponse& response);
   void AddLoad(HopResponse& response) const;
+  void MarkEvacuated(HopResponse& response);
   double QueuePressure() const;
   void ReportStateChange(const char* cause);
   void ApplyPresenceChange(const std::optional<LocalBackend>& before);
@@ -134,6 +142,8 @@
   BackendPresence m_presence;
   std::string m_reported_state;
   bool m_stopping = false;
+  bool m_evacuated = false;
+  uint64_t m_evacuation_refusals = 0;
   AdmissionQueue m_queue;
   LoadMeter m_load;
   uint64_t m_next_ticket = 0;
