Balance calls by weights from control

The leader now corrects weights from the load that nodes report (ServiceBalancer), and routers choose by stride scheduling over weight times usable slots.

--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -518,8 +518,6 @@
   std::vector<HeaderField> headers;
   std::string body;
   bool reached_backend = false;
-  uint32_t in_flight = 0;
-  uint32_t waiting = 0;
   Duration retry_after{0};
   double pressure = 0;
   bool has_load = false;
@@ -528,15 +526,13 @@
   bool operator==(const HopResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 12> kHopResponseFields{{
+inline constexpr std::array<FieldInfo, 10> kHopResponseFields{{
     {"outcome", "", 0, 0, "", "", "", {}},
     {"reason", "", 0, 0, "", "", "", {}},
     {"status", "", 0, 0, "", "", "", {}},
     {"headers", "", 0, 0, "", "", "", {}},
     {"body", "", 0, 0, "", "", "", {}},
     {"reached_backend", "", 0, 0, "", "", "", {}},
-    {"in_flight", "", 0, 0, "", "", "", {}},
-    {"waiting", "", 0, 0, "", "", "", {}},
     {"retry_after", "ms", 0, 0, "", "", "", {}},
     {"pressure", "", 0, 0, "", "", "", {}},
     {"has_load", "", 0, 0, "", "", "", {}},
@@ -553,12 +549,10 @@
   visit(kHopResponseFields[3], self.headers);
   visit(kHopResponseFields[4], self.body);
   visit(kHopResponseFields[5], self.reached_backend);
-  visit(kHopResponseFields[6], self.in_flight);
-  visit(kHopResponseFields[7], self.waiting);
-  visit(kHopResponseFields[8], self.retry_after);
-  visit(kHopResponseFields[9], self.pressure);
-  visit(kHopResponseFields[10], self.has_load);
-  visit(kHopResponseFields[11], self.pressure_below);
+  visit(kHopResponseFields[6], self.retry_after);
+  visit(kHopResponseFields[7], self.pressure);
+  visit(kHopResponseFields[8], self.has_load);
+  visit(kHopResponseFields[9], self.pressure_below);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -572,12 +566,10 @@
   visit(kHopResponseFields[3], self.headers, other.headers);
   visit(kHopResponseFields[4], self.body, other.body);
   visit(kHopResponseFields[5], self.reached_backend, other.reached_backend);
-  visit(kHopResponseFields[6], self.in_flight, other.in_flight);
-  visit(kHopResponseFields[7], self.waiting, other.waiting);
-  visit(kHopResponseFields[8], self.retry_after, other.retry_after);
-  visit(kHopResponseFields[9], self.pressure, other.pressure);
-  visit(kHopResponseFields[10], self.has_load, other.has_load);
-  visit(kHopResponseFields[11], self.pressure_below, other.pressure_below);
+  visit(kHopResponseFields[6], self.retry_after, other.retry_after);
+  visit(kHopResponseFields[7], self.pressure, other.pressure);
+  visit(kHopResponseFields[8], self.has_load, other.has_load);
+  visit(kHopResponseFields[9], self.pressure_below, other.pressure_below);
 }
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -16,6 +16,7 @@
 #include "rosemarywinch/decisions/control/quota_pool.h"
 #include "rosemarywinch/decisions/control/version_tracker.h"
 #include "rosemarywinch/decisions/mesh/mesh_config.h"
+#include "rosemarywinch/programs/balance_board.h"
 #include "rosemarywinch/programs/configuration_publisher.h"
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "rosemarywinch/schema/control.h"
@@ -54,6 +55,9 @@
 
   Result<ControlStatus> Status(const ControlStatusRequest& request);
 
+  /// Returns the metrics of the balances, in the Prometheus text format.
+  std::string BalanceMetrics() { return m_balances.MetricsText(); }
+
   void OnLeader(TimePoint now, uint64_t term, uint64_t version) override;
   void OnFollower(TimePoint now) override;
   void OnApplied(TimePoint now, uint64_t version) override;
@@ -123,6 +127,7 @@
   VersionState m_version_state;
   Directory m_directory;
   Pressures m_pressures;
+  BalanceBoard m_balances;
   PendingDepartures m_pending_departures;
   Sharded<AllocatorShard> m_allocators;
   ConfigurationPublisher m_publisher;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -72,8 +72,7 @@
   void FinishCall(const std::string& service,
                   const std::string& node,
                   CallResult result,
-                  Duration took,
-                  std::optional<LoadReport> load);
+                  Duration took);
 
   /// Counts a first attempt for `service` towards its retry budget.
   void CountRequest(const std::string& service);
@@ -140,6 +139,8 @@
   Result<Done> CheckSender(const PollResponse& response) const;
   Result<Done> ApplyConfiguration(TimePoint sent, const PollResponse& response);
   void ApplyMembers(const PollResponse& response);
+  void FillBalances(PollRequest& request);
+  void ApplyBalances(const PollResponse& response);
   void ApplyPressures(const PollResponse& response);
   void ApplyQuotas(TimePoint sent, const PollResponse& response);
   bool TryTake(const std::string& account, bool first);
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -58,6 +58,7 @@
   AddDepartures(*view.state, request, response);
   AddMembers(view.now, request, response);
   AddPressures(view.now, request, response);
+  m_balances.OnPoll(view.now, view.state->evacuated, request, response);
   AddAllowances(view, request, response);
   AddQuotas(view, request, response);
   std::scoped_lock lock(m_version_state.mutex);
@@ -112,6 +113,7 @@
     std::scoped_lock lock(m_pressures.mutex);
     m_pressures.board.Reset(now);
   }
+  m_balances.OnLeader(now, term);
   // Without a change there is no account, so that no lease was granted.
   const TimePoint last_earlier_grant = version == 0 ? now - m_lease : now;
   m_allocators.ForEach([&](AllocatorShard& shard) {
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -384,8 +384,6 @@
   std::scoped_lock lock(m_mutex);
   response.pressure = QueuePressure();
   response.has_load = true;
-  response.in_flight = m_queue.in_flight();
-  response.waiting = static_cast<uint32_t>(m_queue.waiting());
 }
 
 size_t BackendProxy::open_requests() const {
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -183,7 +183,7 @@
                   static_cast<double>(status.commit_index));
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
-    response.body = m_metrics.Text();
+    response.body = m_metrics.Text() + m_service.BalanceMetrics();
     co_return response;
   }
 
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -67,6 +67,7 @@
       request.services.push_back({name, revision});
     }
   }
+  FillBalances(request);
   const TimePoint now = m_clock.Now();
   m_accounts.ForEach([&](AccountShard& shard) {
     std::erase_if(shard.quotas,
@@ -118,6 +119,7 @@
   BOOST_LEAF_CHECK(CheckSender(response));
   BOOST_LEAF_CHECK(ApplyConfiguration(sent, response));
   ApplyMembers(response);
+  ApplyBalances(response);
   ApplyPressures(response);
   ApplyQuotas(sent, response);
   WakeTokenWaiters();
@@ -296,13 +298,12 @@
 void MeshView::FinishCall(const std::string& service,
                           const std::string& node,
                           CallResult result,
-                          Duration took,
-                          std::optional<LoadReport> load) {
+                          Duration took) {
   const TimePoint now = m_clock.Now();
   m_services.With(service, [&](ServiceShard& shard) {
     const auto found = shard.routers.find(service);
     if (found != shard.routers.end()) {
-      found->second.Finish(now, node, result, took, load);
+      found->second.Finish(now, node, result, took);
     }
   });
 }
--- a/src/programs/mesh/outbound_proxy.cc
+++ b/src/programs/mesh/outbound_proxy.cc
@@ -36,13 +36,6 @@
   return failed ? CallResult::kFailed : CallResult::kAnswered;
 }
 
-std::optional<LoadReport> LoadOf(const HopResponse& response) {
-  if (!response.has_load) {
-    return std::nullopt;
-  }
-  return LoadReport{response.in_flight, response.waiting};
-}
-
 // Calls of the local backend server come from this host and carry no key.
 RequestOrigin OriginOf(const HttpRequest& request, const Admitted& admitted) {
   return request.from_this_host && admitted.account == nullptr
@@ -221,8 +214,7 @@
   HopResponse response =
       co_await m_hops.Call(member, std::move(hop), std::move(cancellation));
   const Duration took = m_clock.Now() - began;
-  m_view.FinishCall(state.hop.service, member.node, ResultOf(response), took,
-                    LoadOf(response));
+  m_view.FinishCall(state.hop.service, member.node, ResultOf(response), took);
   if (const auto pressure = PressureOf(response)) {
     RecordPressure(state, *pressure, response.pressure_below);
   }
