--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -3,9 +3,13 @@
 
 #include <benchmark/benchmark.h>
 
+#include <string>
+#include <vector>
+
 #include "fixtures.h"
 #include "rosemarywinch/adapters/json_codec.h"
 #include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/decisions/control/service_balancer.h"
 #include "rosemarywinch/decisions/traffic/admission_queue.h"
 #include "rosemarywinch/decisions/traffic/client_key.h"
 #include "rosemarywinch/decisions/traffic/route_table.h"
@@ -123,7 +127,41 @@
     router.Finish(kAfterStartup, member->node, CallResult::kAnswered, {5});
   }
 }
-BENCHMARK(BM_ChooseMember)->Arg(13)->Arg(130);
+BENCHMARK(BM_ChooseMember)->Arg(13)->Arg(33)->Arg(130)->Arg(1400);
+
+// Two reports of each of the nodes of all services, and the steps that are due
+// in the second between them.
+void BM_SecondOfBalancers(benchmark::State& run) {
+  const auto services = static_cast<size_t>(run.range(0));
+  const auto nodes = static_cast<size_t>(run.range(1));
+  std::vector<Member> members;
+  std::vector<ServiceBalancer> balancers;
+  for (size_t i = 0; i < nodes; ++i) {
+    members.push_back({"n" + std::to_string(i), "10.0.0.1:1",
+                       "dc" + std::to_string(i / services % 4), "s",
+                       BackendState::kReady, 16});
+  }
+  for (size_t i = 0; i < services; ++i) {
+    balancers.emplace_back(kAfterStartup, 1, Duration{0});
+  }
+  TimePoint now = kAfterStartup;
+  uint64_t sequence = 0;
+  for (auto _ : run) {
+    for (int report = 0; report < 2; ++report) {
+      now.ms += 500;
+      ++sequence;
+      for (size_t i = 0; i < nodes; ++i) {
+        const double busy = 4 + static_cast<double>((i + sequence) % 7);
+        balancers[i % services].OnReport(now, members[i], sequence,
+                                         {16, busy, 0, 100, 0, 0}, {});
+      }
+    }
+  }
+}
+BENCHMARK(BM_SecondOfBalancers)
+    ->Args({4, 80})
+    ->Args({110, 1400})
+    ->Unit(benchmark::kMicrosecond);
 
 }  // namespace
 }  // namespace rosemarywinch::bench
