Plan admission of the whole fleet at the control leader

Refusals deep in a call chain wasted the work above it. Nodes label calls with the class of their root request, report demand and slots in use, and apply the plan that the leader computes from the sums twice a second. The mean pressure of all nodes is taken out.

--- a/gen/rosemarywinch/schema/control.h
+++ b/gen/rosemarywinch/schema/control.h
@@ -52,35 +52,6 @@
   visit(kPackedDocumentFields[1], self.data, other.data);
 }
 
-struct FleetPressure {
-  std::string service;
-  double pressure = 0;
-
-  bool operator==(const FleetPressure&) const = default;
-};
-
-inline constexpr std::array<FieldInfo, 2> kFleetPressureFields{{
-    {"service", "", 0, 0, "", "", "", {}},
-    {"pressure", "", 0, 0, "", "", "", {}},
-}};
-
-template <typename Self, typename Visitor>
-requires SameType<Self, FleetPressure>
-void VisitFields([[maybe_unused]] Self& self,
-                 [[maybe_unused]] Visitor&& visit) {
-  visit(kFleetPressureFields[0], self.service);
-  visit(kFleetPressureFields[1], self.pressure);
-}
-
-template <typename Self, typename Other, typename Visitor>
-requires SameType<Self, FleetPressure> && SameType<Other, FleetPressure>
-void VisitFieldPairs([[maybe_unused]] Self& self,
-                     [[maybe_unused]] Other& other,
-                     [[maybe_unused]] Visitor&& visit) {
-  visit(kFleetPressureFields[0], self.service, other.service);
-  visit(kFleetPressureFields[1], self.pressure, other.pressure);
-}
-
 struct PollRequest {
   uint32_t protocol_version = 0;
   std::string cluster;
@@ -95,7 +66,6 @@
   uint64_t configuration_version = 0;
   std::vector<QuotaReport> quotas;
   bool tokens_only = false;
-  double pressure = 0;
   std::vector<Departure> departures;
   bool wants_departures = false;
   std::optional<BackendLoad> load;
@@ -107,7 +77,7 @@
   bool operator==(const PollRequest&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 21> kPollRequestFields{{
+inline constexpr std::array<FieldInfo, 20> kPollRequestFields{{
     {"protocol_version", "", 0, 0, "", "", "", {}},
     {"cluster", "", 0, 0, "", "", "", {}},
     {"node", "", 0, 0, "", "", "", {}},
@@ -121,7 +91,6 @@
     {"configuration_version", "", 0, 0, "", "", "", {}},
     {"quotas", "", 0, 0, "", "", "", {}},
     {"tokens_only", "", 0, 0, "", "", "", {}},
-    {"pressure", "", 0, 0, "", "", "", {}},
     {"departures", "", 0, 0, "", "", "", {}},
     {"wants_departures", "", 0, 0, "", "", "", {}},
     {"load", "", 0, 0, "", "", "", {}},
@@ -148,14 +117,13 @@
   visit(kPollRequestFields[10], self.configuration_version);
   visit(kPollRequestFields[11], self.quotas);
   visit(kPollRequestFields[12], self.tokens_only);
-  visit(kPollRequestFields[13], self.pressure);
-  visit(kPollRequestFields[14], self.departures);
-  visit(kPollRequestFields[15], self.wants_departures);
-  visit(kPollRequestFields[16], self.load);
-  visit(kPollRequestFields[17], self.balances);
-  visit(kPollRequestFields[18], self.demand);
-  visit(kPollRequestFields[19], self.usage);
-  visit(kPollRequestFields[20], self.admission_revision);
+  visit(kPollRequestFields[13], self.departures);
+  visit(kPollRequestFields[14], self.wants_departures);
+  visit(kPollRequestFields[15], self.load);
+  visit(kPollRequestFields[16], self.balances);
+  visit(kPollRequestFields[17], self.demand);
+  visit(kPollRequestFields[18], self.usage);
+  visit(kPollRequestFields[19], self.admission_revision);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -177,14 +145,13 @@
         other.configuration_version);
   visit(kPollRequestFields[11], self.quotas, other.quotas);
   visit(kPollRequestFields[12], self.tokens_only, other.tokens_only);
-  visit(kPollRequestFields[13], self.pressure, other.pressure);
-  visit(kPollRequestFields[14], self.departures, other.departures);
-  visit(kPollRequestFields[15], self.wants_departures, other.wants_departures);
-  visit(kPollRequestFields[16], self.load, other.load);
-  visit(kPollRequestFields[17], self.balances, other.balances);
-  visit(kPollRequestFields[18], self.demand, other.demand);
-  visit(kPollRequestFields[19], self.usage, other.usage);
-  visit(kPollRequestFields[20], self.admission_revision,
+  visit(kPollRequestFields[13], self.departures, other.departures);
+  visit(kPollRequestFields[14], self.wants_departures, other.wants_departures);
+  visit(kPollRequestFields[15], self.load, other.load);
+  visit(kPollRequestFields[16], self.balances, other.balances);
+  visit(kPollRequestFields[17], self.demand, other.demand);
+  visit(kPollRequestFields[18], self.usage, other.usage);
+  visit(kPollRequestFields[19], self.admission_revision,
         other.admission_revision);
 }
 
@@ -202,8 +169,6 @@
   std::optional<PackedDocument> configuration;
   std::vector<uint32_t> replicas;
   std::vector<QuotaGrant> quotas;
-  bool pressures_known = false;
-  std::vector<FleetPressure> pressures;
   bool departures_known = false;
   std::vector<Departure> departures;
   std::vector<std::string> evacuated;
@@ -215,7 +180,7 @@
   bool operator==(const PollResponse&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 22> kPollResponseFields{{
+inline constexpr std::array<FieldInfo, 20> kPollResponseFields{{
     {"cluster", "", 0, 0, "", "", "", {}},
     {"term", "", 0, 0, "", "", "", {}},
     {"sequence", "", 0, 0, "", "", "", {}},
@@ -229,8 +194,6 @@
     {"configuration", "", 0, 0, "", "", "", {}},
     {"replicas", "", 0, 0, "", "", "", {}},
     {"quotas", "", 0, 0, "", "", "", {}},
-    {"pressures_known", "", 0, 0, "", "", "", {}},
-    {"pressures", "", 0, 0, "", "", "", {}},
     {"departures_known", "", 0, 0, "", "", "", {}},
     {"departures", "", 0, 0, "", "", "", {}},
     {"evacuated", "", 0, 0, "", "", "", {}},
@@ -257,15 +220,13 @@
   visit(kPollResponseFields[10], self.configuration);
   visit(kPollResponseFields[11], self.replicas);
   visit(kPollResponseFields[12], self.quotas);
-  visit(kPollResponseFields[13], self.pressures_known);
-  visit(kPollResponseFields[14], self.pressures);
-  visit(kPollResponseFields[15], self.departures_known);
-  visit(kPollResponseFields[16], self.departures);
-  visit(kPollResponseFields[17], self.evacuated);
-  visit(kPollResponseFields[18], self.balances);
-  visit(kPollResponseFields[19], self.admission_known);
-  visit(kPollResponseFields[20], self.admission);
-  visit(kPollResponseFields[21], self.admission_revision);
+  visit(kPollResponseFields[13], self.departures_known);
+  visit(kPollResponseFields[14], self.departures);
+  visit(kPollResponseFields[15], self.evacuated);
+  visit(kPollResponseFields[16], self.balances);
+  visit(kPollResponseFields[17], self.admission_known);
+  visit(kPollResponseFields[18], self.admission);
+  visit(kPollResponseFields[19], self.admission_revision);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -287,15 +248,13 @@
   visit(kPollResponseFields[10], self.configuration, other.configuration);
   visit(kPollResponseFields[11], self.replicas, other.replicas);
   visit(kPollResponseFields[12], self.quotas, other.quotas);
-  visit(kPollResponseFields[13], self.pressures_known, other.pressures_known);
-  visit(kPollResponseFields[14], self.pressures, other.pressures);
-  visit(kPollResponseFields[15], self.departures_known, other.departures_known);
-  visit(kPollResponseFields[16], self.departures, other.departures);
-  visit(kPollResponseFields[17], self.evacuated, other.evacuated);
-  visit(kPollResponseFields[18], self.balances, other.balances);
-  visit(kPollResponseFields[19], self.admission_known, other.admission_known);
-  visit(kPollResponseFields[20], self.admission, other.admission);
-  visit(kPollResponseFields[21], self.admission_revision,
+  visit(kPollResponseFields[13], self.departures_known, other.departures_known);
+  visit(kPollResponseFields[14], self.departures, other.departures);
+  visit(kPollResponseFields[15], self.evacuated, other.evacuated);
+  visit(kPollResponseFields[16], self.balances, other.balances);
+  visit(kPollResponseFields[17], self.admission_known, other.admission_known);
+  visit(kPollResponseFields[18], self.admission, other.admission);
+  visit(kPollResponseFields[19], self.admission_revision,
         other.admission_revision);
 }
 
--- a/include/rosemarywinch/decisions/traffic/admission_queue.h
+++ b/include/rosemarywinch/decisions/traffic/admission_queue.h
@@ -30,6 +30,9 @@
   std::optional<uint32_t> priority = std::nullopt;
   /// Number of earlier calls of the request that makes this nested call.
   uint32_t calls_before = 0;
+  /// Shedding priority of the root request of a nested call, 0 the most urgent.
+  /// Without it the call comes after the others.
+  std::optional<uint32_t> entry_priority = std::nullopt;
 };
 
 /// Decision on a ticket.
@@ -48,16 +51,19 @@
 /// Order of waiting calls: essential request classes before lookups, or by
 /// explicit priority where tickets have one; nested calls before root requests;
 /// then weighted fair queueing between client accounts. Nested calls are
-/// ordered by the number of earlier calls of their request, the most first.
-/// Those without earlier calls run last in, first out, because the oldest have
-/// too little time left to be worth a slot. When the queue is full, the call
-/// that would run last is refused.
+/// ordered by the number of earlier calls of their request, the most first,
+/// then by the shedding priority of their root request. Those without earlier
+/// calls run last in, first out, because the oldest have too little time left
+/// to be worth a slot. When the queue is full, the call that would run last is
+/// refused; a call that can't end in its time is refused as soon as that is
+/// known.
 class AdmissionQueue {
  public:
   AdmissionQueue(ConcurrencyLimit limit, uint32_t queue_length);
 
-  /// Offers a call. Returns its verdict, followed by the refusal of a waiting
-  /// call that was evicted from the full queue, if any.
+  /// Offers a call. Returns its verdict, followed by the refusals of waiting
+  /// calls, if any: of one that was evicted from the full queue, and of those
+  /// that now can't end in their time.
   /// Complexity: logarithmic in the queue length.
   std::vector<Admission> Offer(TimePoint now, Ticket ticket);
 
@@ -90,6 +96,8 @@
   /// negated number of earlier calls.
   struct QueueKey {
     double tag = 0;
+    /// Shedding priority of the root request of a nested call.
+    uint32_t entry_priority = 0;
     uint64_t sequence = 0;
     auto operator<=>(const QueueKey&) const = default;
   };
@@ -111,10 +119,13 @@
   QueueKey QueueKeyOf(PriorityQueue& queue, const Ticket& ticket);
   void Enqueue(Ticket ticket);
   Ticket PopFirst();
+  const Ticket& Last() const;
   Ticket PopLast();
   Ticket Remove(PriorityQueue& queue,
                 std::map<QueueKey, Ticket>::iterator entry);
   std::vector<Admission> AdmitWaiting(TimePoint now);
+  void RefuseHopeless(TimePoint now, std::vector<Admission>& admissions);
+  Duration WaitBehind(size_t calls) const;
 
   ConcurrencyLimit m_limit;
   const uint32_t m_queue_length;
--- a/include/rosemarywinch/decisions/traffic/load_shedder.h
+++ b/include/rosemarywinch/decisions/traffic/load_shedder.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 
 #include "rosemarywinch/core/time.h"
@@ -43,8 +42,12 @@
 /// admitted fraction of each priority changes in steps of its own: the more
 /// requests have a lower priority, the greater its weight, which makes its
 /// decreases smaller and its increases larger. So the lowest priorities are
-/// refused first and recover last, while the pressure settles near 1. Not
-/// thread-safe.
+/// refused first and recover last, while the pressure settles near 1.
+///
+/// While an admission plan of the whole fleet is in force, the load shedder
+/// only guards against a collapse that the plan does not know yet: it reacts to
+/// a higher pressure and recovers faster. When the plan ends, it goes on from
+/// the fractions of the plan. Not thread-safe.
 class LoadShedder {
  public:
   LoadShedder();
@@ -60,11 +63,15 @@
   /// Records the pressure reported by a response.
   void OnPressure(TimePoint now, double pressure);
 
-  /// Records the mean pressure over all nodes of the service. While it is
-  /// recent, it takes the place of responses if there are few of them.
-  void OnFleetPressure(TimePoint now, double pressure);
+  /// Records that an admission plan is in force, which admits `fraction` of the
+  /// requests of `priority`. Called before Admit() for each request.
+  void FollowPlan(uint32_t priority, double fraction);
+  /// Records that no admission plan is in force. Called before Admit() for each
+  /// request.
+  void EndPlan();
 
-  /// Fraction of the requests of `priority` that is admitted.
+  /// Fraction of the requests of `priority` that the load shedder itself
+  /// admits.
   double admitted(uint32_t priority) const;
 
   /// Mean pressure on which the last adjustment was based.
@@ -74,16 +81,15 @@
   struct PriorityState {
     double admitted = 1;
     double weight = 1;
+    /// Fraction that the admission plan admits.
+    double planned = 1;
   };
 
   void Adjust(TimePoint now);
-  void AdjustByFleet(TimePoint now);
-  void ApplyPressure(double pressure, double intervals);
+  void ApplyPressure(double pressure);
   PriorityState InitialState(double weight) const;
   void BeginInterval(TimePoint now);
-  static void UpdateAdmitted(PriorityState& state,
-                             double pressure,
-                             double intervals);
+  void UpdateAdmitted(PriorityState& state, double pressure) const;
   void Recover();
 
   std::map<uint32_t, PriorityState> m_states;
@@ -97,10 +103,7 @@
   /// Requests admitted since the last adjustment.
   uint32_t m_admitted = 0;
   TimePoint m_last_adjustment;
-  /// Pressure over all nodes that has not been applied yet, and when control
-  /// last told any.
-  std::optional<double> m_fleet_pressure;
-  TimePoint m_fleet_pressure_at;
+  bool m_plan_in_force = false;
 };
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -10,9 +10,9 @@
 
 #include "rosemarywinch/core/error.h"
 #include "rosemarywinch/core/sharded.h"
+#include "rosemarywinch/decisions/control/admission_planner.h"
 #include "rosemarywinch/decisions/control/allowance_allocator.h"
 #include "rosemarywinch/decisions/control/membership_directory.h"
-#include "rosemarywinch/decisions/control/pressure_board.h"
 #include "rosemarywinch/decisions/control/quota_pool.h"
 #include "rosemarywinch/decisions/control/version_tracker.h"
 #include "rosemarywinch/decisions/mesh/mesh_config.h"
@@ -54,6 +54,10 @@
 
   Result<ControlStatus> Status(const ControlStatusRequest& request);
 
+  /// Returns the admission plan that was computed last, also by a replica that
+  /// leads no more.
+  AdmissionPlan CurrentPlan();
+
   void OnLeader(TimePoint now, uint64_t term, uint64_t version) override;
   void OnFollower(TimePoint now) override;
   void OnApplied(TimePoint now, uint64_t version) override;
@@ -70,9 +74,9 @@
     std::mutex mutex;
     MembershipDirectory members;
   };
-  struct Pressures {
+  struct AdmissionState {
     std::mutex mutex;
-    PressureBoard board;
+    AdmissionPlanner planner;
   };
   /// Departures whose commands are being committed. Thread-safe.
   class PendingDepartures {
@@ -99,7 +103,7 @@
   void AddDepartures(const FleetState& state,
                      const PollRequest& request,
                      PollResponse& response) const;
-  void AddPressures(TimePoint now,
+  void AddAdmission(const ConsensusDriver::LeaderView& view,
                     const PollRequest& request,
                     PollResponse& response);
   void AddMembers(TimePoint now,
@@ -122,7 +126,7 @@
   ConsensusDriver* m_driver = nullptr;
   VersionState m_version_state;
   Directory m_directory;
-  Pressures m_pressures;
+  AdmissionState m_admission;
   PendingDepartures m_pending_departures;
   Sharded<AllocatorShard> m_allocators;
   ConfigurationPublisher m_publisher;
--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -13,6 +13,8 @@
 #include "rosemarywinch/adapters/async/one_shot.h"
 #include "rosemarywinch/decisions/mesh/backend_presence.h"
 #include "rosemarywinch/decisions/traffic/admission_queue.h"
+#include "rosemarywinch/decisions/traffic/entry_class.h"
+#include "rosemarywinch/decisions/traffic/entry_usage_meter.h"
 #include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/interfaces/mesh_protocol.h"
 
@@ -79,15 +81,16 @@
     m_pressure_source = std::move(source);
   }
 
-  /// Sets the callback for each admitted request, called just before it is sent
-  /// to the backend server.
-  void SetRunCallback(std::function<void()> on_run) {
+  /// Sets the callback for each admitted request and its deadline, called just
+  /// before it is sent to the backend server.
+  void SetRunCallback(
+      std::function<void(const EntryClass& entry, TimePoint deadline)> on_run) {
     m_on_run = std::move(on_run);
   }
 
-  /// Returns the pressure of the local backend server, or of a service that it
-  /// calls if that is greater.
-  double Pressure() const;
+  /// Returns the slots used by requests of each entry service since the last
+  /// call.
+  std::vector<EntryUsage> TakeUsage();
 
   /// Sets the callback for changes of the backend server's state.
   void SetChangeCallback(std::function<void()> on_change) {
@@ -111,7 +114,10 @@
   HopResponse ReadResult(const HopRequest& request, BackendResult result);
   std::optional<LocalBackend> FindServing(const std::string& service) const;
   void RefuseWaiting(ErrorId reason);
-  void FinishRequest(const CallSample& sample);
+  void BeginRequest(const HopRequest& request,
+                    TimePoint now,
+                    TimePoint deadline);
+  void FinishRequest(const HopRequest& request, const CallSample& sample);
   void NotifyWaiters(const std::vector<Admission>& admissions);
   void AddLoad(HopResponse& response) const;
   double QueuePressure() const;
@@ -122,13 +128,14 @@
   Clock& m_clock;
   BackendChannel m_channel;
   std::function<void()> m_on_change;
-  std::function<void()> m_on_run;
+  std::function<void(const EntryClass&, TimePoint)> m_on_run;
   std::function<std::vector<ServicePressure>()> m_pressure_source;
   mutable std::mutex m_mutex;
   BackendPresence m_presence;
   std::string m_reported_state;
   bool m_stopping = false;
   AdmissionQueue m_queue;
+  EntryUsageMeter m_usage;
   uint64_t m_next_ticket = 0;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
   std::vector<StoreWaiter> m_store_waiters;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -15,8 +15,10 @@
 #include "rosemarywinch/decisions/control/quota_cache.h"
 #include "rosemarywinch/decisions/mesh/entry_check.h"
 #include "rosemarywinch/decisions/traffic/dependency_pressure.h"
+#include "rosemarywinch/decisions/traffic/entry_admission.h"
+#include "rosemarywinch/decisions/traffic/entry_demand_meter.h"
 #include "rosemarywinch/decisions/traffic/load_shedder.h"
-#include "rosemarywinch/decisions/traffic/request_call_counter.h"
+#include "rosemarywinch/decisions/traffic/parent_requests.h"
 #include "rosemarywinch/decisions/traffic/retry_budget.h"
 #include "rosemarywinch/decisions/traffic/router.h"
 #include "rosemarywinch/interfaces/clock.h"
@@ -81,21 +83,34 @@
   /// up.
   bool TryRetry(const std::string& service);
 
-  /// Decides by the pressure on `service` whether to admit a root request: one
-  /// that comes with a key, and that no other request of the mesh caused.
-  bool AdmitRootRequest(const std::string& service, uint32_t priority);
-  /// Describes why AdmitRootRequest() refused a request, for logs and error
-  /// messages.
-  std::string ExplainShedding(const std::string& service, uint32_t priority);
+  /// Decision on a root request.
+  struct RootAdmission {
+    bool admitted = true;
+    /// Fraction of the requests among which it was counted that is admitted.
+    double fraction = 1;
+    /// Why it was refused, for logs and error messages.
+    std::string explanation;
+  };
+  /// Decides whether to admit a root request of `account`: one that comes with
+  /// a key, and that no other request of the mesh caused. The admission plan
+  /// decides while it is in force, otherwise the pressure on the service.
+  RootAdmission AdmitRootRequest(const EntryClass& entry,
+                                 const std::string& account);
+  /// Records that an admitted root request exceeded the rate of its account.
+  void CountRateRefusal(const EntryClass& entry);
+  /// Returns the number of classes that the plan in force limits; nullopt
+  /// without a plan in force.
+  std::optional<size_t> LimitedClasses() const;
   /// Records the pressure reported with the response to a root request.
   void RecordPressure(const std::string& service, double pressure);
 
-  /// Counts a request that is about to be sent to the local backend server.
-  void CountRun();
+  /// Counts a request that is about to be sent to the local backend server and
+  /// must end by `deadline`.
+  void CountRun(const EntryClass& entry, TimePoint deadline);
   /// Counts a nested call of the local backend server to `service`, made for a
-  /// request that must end by `deadline`. Returns the number of earlier nested
-  /// calls of that request.
-  uint32_t CountCall(const std::string& service, TimePoint deadline);
+  /// request that must end by `deadline`. Returns what is known of that
+  /// request.
+  ParentRequest CountCall(const std::string& service, TimePoint deadline);
   /// Records the pressure reported with the response to a nested call.
   void RecordDependencyPressures(const std::string& service,
                                  double pressure,
@@ -140,7 +155,12 @@
   Result<Done> CheckSender(const PollResponse& response) const;
   Result<Done> ApplyConfiguration(TimePoint sent, const PollResponse& response);
   void ApplyMembers(const PollResponse& response);
-  void ApplyPressures(const PollResponse& response);
+  void ApplyAdmission(const PollResponse& response);
+  std::optional<PlannedVerdict> AskPlan(const EntryClass& entry,
+                                        const std::string& account,
+                                        double random);
+  RootAdmission AskShedder(const EntryClass& entry,
+                           const std::optional<PlannedVerdict>& planned);
   void ApplyQuotas(TimePoint sent, const PollResponse& response);
   bool TryTake(const std::string& account, bool first);
   void UpdateQuotaWaiters(const std::string& account,
@@ -160,7 +180,10 @@
   PriorityDistribution m_priorities;
   std::mutex m_dependencies_mutex;
   DependencyPressure m_dependencies;
-  RequestCallCounter m_call_counter;
+  ParentRequests m_parent_requests;
+  mutable std::mutex m_admission_mutex;
+  PlannedAdmission m_planned_admission;
+  EntryDemandMeter m_demand;
   std::mutex m_token_waiters_mutex;
   std::vector<std::shared_ptr<OneShot<bool>>> m_token_waiters;
 };
--- a/src/decisions/traffic/admission_queue.cc
+++ b/src/decisions/traffic/admission_queue.cc
@@ -28,15 +28,21 @@
     return {{id, Verdict::kRun, ErrorId::kNone}};
   }
   Enqueue(std::move(ticket));
-  if (m_positions.size() <= m_queue_length) {
-    return {{id, Verdict::kWait, ErrorId::kNone}};
+  std::vector<Admission> admissions;
+  if (m_positions.size() > m_queue_length) {
+    admissions.push_back(
+        {PopLast().id, Verdict::kRefuse, ErrorId::kOverloaded});
   }
-  const uint64_t refused = PopLast().id;
-  const Admission refusal{refused, Verdict::kRefuse, ErrorId::kOverloaded};
-  if (refused == id) {
-    return {refusal};
+  RefuseHopeless(now, admissions);
+  const auto own = std::find_if(
+      admissions.begin(), admissions.end(),
+      [&](const Admission& admission) { return admission.ticket == id; });
+  if (own == admissions.end()) {
+    admissions.insert(admissions.begin(), {id, Verdict::kWait, ErrorId::kNone});
+  } else {
+    std::rotate(admissions.begin(), own, own + 1);
   }
-  return {{id, Verdict::kWait, ErrorId::kNone}, refusal};
+  return admissions;
 }
 
 std::vector<Admission> AdmissionQueue::Finish(TimePoint now,
@@ -70,9 +76,12 @@
 }
 
 Duration AdmissionQueue::ExpectedWait() const {
-  const double ahead = static_cast<double>(waiting() + 1);
+  return WaitBehind(waiting() + 1) + Duration{1};
+}
+
+Duration AdmissionQueue::WaitBehind(size_t calls) const {
   const double each = m_mean_service_ms / std::max<uint32_t>(1, limit());
-  return Duration{static_cast<int64_t>(ahead * each) + 1};
+  return Duration{static_cast<int64_t>(static_cast<double>(calls) * each)};
 }
 
 size_t AdmissionQueue::PriorityLevelOf(const Ticket& ticket) {
@@ -99,12 +108,13 @@
   if (ticket.nested) {
     const double tag = -static_cast<double>(ticket.calls_before);
     const bool begun = ticket.calls_before > 0;
-    return {tag, begun ? m_sequence : UINT64_MAX - m_sequence};
+    return {tag, ticket.entry_priority.value_or(UINT32_MAX),
+            begun ? m_sequence : UINT64_MAX - m_sequence};
   }
   double& last = queue.last_tags[ticket.account];
   const double step = 1.0 / std::max<uint32_t>(1, ticket.weight);
   last = std::max(last, queue.virtual_time) + step;
-  return {last, m_sequence};
+  return {last, 0, m_sequence};
 }
 
 Ticket AdmissionQueue::PopFirst() {
@@ -117,6 +127,14 @@
   return Remove(*queue, first);
 }
 
+const Ticket& AdmissionQueue::Last() const {
+  const auto queue = std::find_if(m_queues.rbegin(), m_queues.rend(),
+                                  [](const PriorityQueue& candidate) {
+                                    return !candidate.waiting.empty();
+                                  });
+  return std::prev(queue->waiting.end())->second;
+}
+
 Ticket AdmissionQueue::PopLast() {
   const auto queue = std::find_if(m_queues.rbegin(), m_queues.rend(),
                                   [](const PriorityQueue& candidate) {
@@ -156,7 +174,23 @@
     ++m_in_flight;
     admissions.push_back({ticket.id, Verdict::kRun, ErrorId::kNone});
   }
+  RefuseHopeless(now, admissions);
   return admissions;
 }
 
+// Refuses calls from the end of the order that could not end in their time even
+// if no other call came before them, so that their callers can go elsewhere.
+void AdmissionQueue::RefuseHopeless(TimePoint now,
+                                    std::vector<Admission>& admissions) {
+  const Duration service{static_cast<int64_t>(m_mean_service_ms)};
+  while (!m_positions.empty()) {
+    const Duration wait = WaitBehind(m_positions.size());
+    if (now + wait + service < Last().deadline) {
+      return;
+    }
+    admissions.push_back(
+        {PopLast().id, Verdict::kRefuse, ErrorId::kOverloaded});
+  }
+}
+
 }  // namespace rosemarywinch
--- a/src/decisions/traffic/load_shedder.cc
+++ b/src/decisions/traffic/load_shedder.cc
@@ -20,18 +20,19 @@
 constexpr double kMaxDecrease = 0.25;
 constexpr double kDecreasePerPressure = 0.1;
 constexpr double kIncrease = 0.03;
+// With an admission plan in force, a collapse is over within a second or two
+// and the plan keeps the load in bounds.
+constexpr double kGuardIncrease = 0.1;
+// Pressure above which requests are shed: without an admission plan, and with
+// one, which itself reacts to a pressure of 1 within a second.
+constexpr double kMaxPressure = 1;
+constexpr double kMaxGuardPressure = 1.5;
 // Weight added to a priority when all other requests have a lower one; the
 // lowest priority has weight 1.
 constexpr double kMaxExtraWeight = 2;
 // A few requests are always admitted: their responses show when capacity is
 // available again.
 constexpr double kMinAdmitted = 0.05;
-// Limit of the time between two pressures over all nodes that counts for an
-// increase, in adjustment intervals.
-constexpr double kMaxIntervals = 3;
-// Time for which the pressure over all nodes counts as recent. Control sends it
-// twice a second.
-constexpr Duration kFleetPressureTtl{1'500};
 // Time constant of the exponential decay of the request counts.
 constexpr Duration kCountDecayTime{3'000};
 
@@ -83,10 +84,26 @@
   Adjust(now);
 }
 
-void LoadShedder::OnFleetPressure(TimePoint now, double pressure) {
-  m_fleet_pressure = pressure;
-  m_fleet_pressure_at = now;
-  Adjust(now);
+void LoadShedder::FollowPlan(uint32_t priority, double fraction) {
+  m_plan_in_force = true;
+  m_states.try_emplace(priority, InitialState(1)).first->second.planned =
+      fraction;
+}
+
+void LoadShedder::EndPlan() {
+  if (!m_plan_in_force) {
+    return;
+  }
+  m_plan_in_force = false;
+  double least = 1;
+  double greatest = kMinAdmitted;
+  for (auto& [priority, state] : m_states) {
+    state.admitted = std::clamp(state.planned, kMinAdmitted, state.admitted);
+    least = std::min(least, state.admitted);
+    greatest = std::max(greatest, state.admitted);
+  }
+  m_lowest.admitted = least;
+  m_highest.admitted = greatest;
 }
 
 double LoadShedder::admitted(uint32_t priority) const {
@@ -95,11 +112,6 @@
 }
 
 void LoadShedder::Adjust(TimePoint now) {
-  const bool fleet_known = now < m_fleet_pressure_at + kFleetPressureTtl;
-  if (fleet_known && m_samples < kMinSamples) {
-    AdjustByFleet(now);
-    return;
-  }
   const double pressure = m_samples > 0 ? m_pressure_sum / m_samples : 0;
   const bool may_adjust =
       m_samples >= kMinSamples || (m_samples > 0 && pressure <= 1);
@@ -108,7 +120,7 @@
     return;
   }
   if (m_samples > 0) {
-    ApplyPressure(pressure, 1);
+    ApplyPressure(pressure);
   } else if (m_admitted == 0) {
     Recover();
   }
@@ -117,49 +129,37 @@
   BeginInterval(now);
 }
 
-void LoadShedder::AdjustByFleet(TimePoint now) {
-  if (!m_fleet_pressure || now < m_last_adjustment + kAdjustInterval) {
-    return;
-  }
-  const double intervals =
-      (now - m_last_adjustment).Seconds() / kAdjustInterval.Seconds();
-  ApplyPressure(*m_fleet_pressure, std::min(intervals, kMaxIntervals));
-  BeginInterval(now);
-}
-
-// `intervals` is the time since the last adjustment in adjustment intervals.
-void LoadShedder::ApplyPressure(double pressure, double intervals) {
+void LoadShedder::ApplyPressure(double pressure) {
   m_last_pressure = pressure;
-  UpdateAdmitted(m_lowest, pressure, intervals);
-  UpdateAdmitted(m_highest, pressure, intervals);
+  UpdateAdmitted(m_lowest, pressure);
+  UpdateAdmitted(m_highest, pressure);
   for (auto& [priority, state] : m_states) {
-    UpdateAdmitted(state, pressure, intervals);
+    UpdateAdmitted(state, pressure);
   }
 }
 
 LoadShedder::PriorityState LoadShedder::InitialState(double weight) const {
   const double rank = (weight - m_lowest.weight) / kMaxExtraWeight;
   const double range = m_highest.admitted - m_lowest.admitted;
-  return {m_lowest.admitted + rank * range, weight};
+  return {m_lowest.admitted + rank * range, weight, 1};
 }
 
 void LoadShedder::BeginInterval(TimePoint now) {
   m_pressure_sum = 0;
   m_samples = 0;
   m_admitted = 0;
-  m_fleet_pressure.reset();
   m_last_adjustment = now;
 }
 
-void LoadShedder::UpdateAdmitted(PriorityState& state,
-                                 double pressure,
-                                 double intervals) {
-  if (pressure > 1) {
-    const double decrease = std::clamp(kDecreasePerPressure * (pressure - 1),
-                                       kMinDecrease, kMaxDecrease);
+void LoadShedder::UpdateAdmitted(PriorityState& state, double pressure) const {
+  const double limit = m_plan_in_force ? kMaxGuardPressure : kMaxPressure;
+  if (pressure > limit) {
+    const double decrease = std::clamp(
+        kDecreasePerPressure * (pressure - limit), kMinDecrease, kMaxDecrease);
     state.admitted *= 1 - decrease / state.weight;
   } else {
-    state.admitted += kIncrease * state.weight * intervals;
+    const double increase = m_plan_in_force ? kGuardIncrease : kIncrease;
+    state.admitted += increase * state.weight;
   }
   state.admitted = std::clamp(state.admitted, kMinAdmitted, 1.0);
 }
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "rosemarywinch/adapters/log.h"
 #include "rosemarywinch/adapters/mesh_codec.h"
 #include "rosemarywinch/decisions/control/lease.h"
 #include "rosemarywinch/decisions/fleet/departures.h"
@@ -57,7 +58,7 @@
   BOOST_LEAF_CHECK(AddMeshConfiguration(view, request, response));
   AddDepartures(*view.state, request, response);
   AddMembers(view.now, request, response);
-  AddPressures(view.now, request, response);
+  AddAdmission(view, request, response);
   AddAllowances(view, request, response);
   AddQuotas(view, request, response);
   std::scoped_lock lock(m_version_state.mutex);
@@ -109,8 +110,8 @@
     m_directory.members.Reset(now, term);
   }
   {
-    std::scoped_lock lock(m_pressures.mutex);
-    m_pressures.board.Reset(now);
+    std::scoped_lock lock(m_admission.mutex);
+    m_admission.planner.Reset(now, term);
   }
   // Without a change there is no account, so that no lease was granted.
   const TimePoint last_earlier_grant = version == 0 ? now - m_lease : now;
@@ -221,20 +222,36 @@
   }
 }
 
-void ControlService::AddPressures(TimePoint now,
+void ControlService::AddAdmission(const ConsensusDriver::LeaderView& view,
                                   const PollRequest& request,
                                   PollResponse& response) {
-  std::scoped_lock lock(m_pressures.mutex);
-  if (!request.member.service.empty()) {
-    m_pressures.board.OnReport(now, request.node, request.member.service,
-                               request.pressure);
+  std::scoped_lock lock(m_admission.mutex);
+  AdmissionPlanner& planner = m_admission.planner;
+  const Outcome<Done> reported =
+      Capture([&] { return planner.OnReport(view.now, request); });
+  if (const auto* error = std::get_if<Error>(&reported)) {
+    LogEvent(LogLevel::kError, "admission_report_invalid",
+             {{"node", request.node}, {"error", error->Message()}});
   }
-  response.pressures_known = m_pressures.board.IsComplete(now);
-  if (response.pressures_known) {
-    response.pressures = m_pressures.board.Means(now);
+  response.admission_known = planner.IsComplete(view.now);
+  if (!response.admission_known) {
+    return;
+  }
+  const AdmissionPlan& plan =
+      planner.Plan(view.now, [&](const std::string& account) {
+        return LimitOf(*view.state, account).rate;
+      });
+  response.admission_revision = plan.revision;
+  if (plan.revision != request.admission_revision) {
+    response.admission = plan;
   }
 }
 
+AdmissionPlan ControlService::CurrentPlan() {
+  std::scoped_lock lock(m_admission.mutex);
+  return m_admission.planner.current();
+}
+
 Result<Done> ControlService::AddMeshConfiguration(
     const ConsensusDriver::LeaderView& view,
     const PollRequest& request,
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -199,11 +199,11 @@
     response.retry_after = m_queue.ExpectedWait();
   } else {
     const TimePoint began = m_clock.Now();
-    m_on_run();
+    BeginRequest(request, began, deadline);
     response = co_await SendToBackend(request, deadline, signals);
     const Duration took = m_clock.Now() - began;
-    FinishRequest({static_cast<double>(took.ms),
-                   response.outcome != HopOutcome::kAnswered});
+    FinishRequest(request, {static_cast<double>(took.ms),
+                            response.outcome != HopOutcome::kAnswered});
   }
   AddLoad(response);
   co_return response;
@@ -228,6 +228,9 @@
     ticket.nested = request.nested;
     ticket.priority = request.priority;
     ticket.calls_before = request.calls_before;
+    if (!request.entry_service.empty()) {
+      ticket.entry_priority = request.entry_priority;
+    }
     ticket.deadline = deadline;
     m_waiters[id] = waiter;
     NotifyWaiters(m_queue.Offer(m_clock.Now(), std::move(ticket)));
@@ -319,9 +322,25 @@
   return response;
 }
 
-void BackendProxy::FinishRequest(const CallSample& sample) {
+void BackendProxy::BeginRequest(const HopRequest& request,
+                                TimePoint now,
+                                TimePoint deadline) {
+  m_on_run({request.entry_service, request.entry_priority}, deadline);
+  std::scoped_lock lock(m_mutex);
+  m_usage.Begin(now, request.entry_service);
+}
+
+void BackendProxy::FinishRequest(const HopRequest& request,
+                                 const CallSample& sample) {
+  const TimePoint now = m_clock.Now();
   std::scoped_lock lock(m_mutex);
-  NotifyWaiters(m_queue.Finish(m_clock.Now(), sample));
+  m_usage.End(now, request.entry_service);
+  NotifyWaiters(m_queue.Finish(now, sample));
+}
+
+std::vector<EntryUsage> BackendProxy::TakeUsage() {
+  std::scoped_lock lock(m_mutex);
+  return m_usage.Take(m_clock.Now());
 }
 
 // Requires m_mutex to be held.
@@ -335,12 +354,6 @@
   }
 }
 
-double BackendProxy::Pressure() const {
-  const double below = MaxPressure(m_pressure_source());
-  std::scoped_lock lock(m_mutex);
-  return std::max(QueuePressure(), below);
-}
-
 // Requires m_mutex to be held.
 double BackendProxy::QueuePressure() const {
   const double wait = m_queue.waiting() == 0
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -75,7 +75,10 @@
             [this](const auto& seeds) { m_poller.SetSeeds(seeds); }) {
     m_view.SetTokenCallback([this] { m_poller.RequestTokens(); });
     m_backend_proxy.SetChangeCallback([this] { m_poller.RequestPoll(); });
-    m_backend_proxy.SetRunCallback([this] { m_view.CountRun(); });
+    m_backend_proxy.SetRunCallback(
+        [this](const EntryClass& entry, TimePoint deadline) {
+          m_view.CountRun(entry, deadline);
+        });
     m_backend_proxy.SetPressureSource(
         [this] { return m_view.DependencyPressures(); });
   }
@@ -148,6 +151,10 @@
   asio::awaitable<HttpResponse> HandleMetrics() {
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    const std::optional<size_t> limited = m_view.LimitedClasses();
+    m_metrics.Set("admission_plan_in_force", limited ? 1 : 0);
+    m_metrics.Set("admission_limited_classes",
+                  static_cast<double>(limited.value_or(0)));
     response.body = m_metrics.Text();
     co_return response;
   }
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -214,7 +214,7 @@
     request.member.service = backend->service;
     request.member.state = backend->state;
     request.member.slots = backend->slots;
-    request.pressure = m_backend_proxy.Pressure();
+    request.usage = m_backend_proxy.TakeUsage();
   }
   request.departures = m_backend_proxy.UnstoredDepartures();
   request.wants_departures = !m_backend_proxy.DeparturesRestored();
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -68,6 +68,11 @@
     }
   }
   const TimePoint now = m_clock.Now();
+  {
+    std::scoped_lock lock(m_admission_mutex);
+    request.demand = m_demand.Take(now);
+    request.admission_revision = m_planned_admission.revision();
+  }
   m_accounts.ForEach([&](AccountShard& shard) {
     std::erase_if(shard.quotas,
                   [&](const auto& entry) { return entry.second.IsIdle(now); });
@@ -118,7 +123,7 @@
   BOOST_LEAF_CHECK(CheckSender(response));
   BOOST_LEAF_CHECK(ApplyConfiguration(sent, response));
   ApplyMembers(response);
-  ApplyPressures(response);
+  ApplyAdmission(response);
   ApplyQuotas(sent, response);
   WakeTokenWaiters();
   return Done{};
@@ -186,23 +191,20 @@
   }
 }
 
-void MeshView::ApplyPressures(const PollResponse& response) {
-  if (!response.pressures_known) {
+// Until a new leader knows the fleet, the plan of the last one goes on until it
+// expires.
+void MeshView::ApplyAdmission(const PollResponse& response) {
+  if (!response.admission_known) {
     return;
   }
-  std::map<std::string, double> pressures;
-  for (const FleetPressure& known : response.pressures) {
-    pressures[known.service] = known.pressure;
-    m_services.With(known.service, [&](ServiceShard& shard) {
-      shard.shedders.try_emplace(known.service);
-    });
-  }
   const TimePoint now = m_clock.Now();
-  m_services.ForEach([&](ServiceShard& shard) {
-    for (auto& [service, shedder] : shard.shedders) {
-      shedder.OnFleetPressure(now, pressures[service]);
-    }
-  });
+  std::scoped_lock lock(m_admission_mutex);
+  if (response.admission &&
+      !m_planned_admission.Apply(now, *response.admission)) {
+    LogEvent(LogLevel::kError, "admission_plan_invalid",
+             {{"revision", std::to_string(response.admission->revision)}});
+  }
+  m_planned_admission.Confirm(now, response.admission_revision);
 }
 
 void MeshView::ApplyQuotas(TimePoint sent, const PollResponse& response) {
@@ -321,29 +323,81 @@
   });
 }
 
-bool MeshView::AdmitRootRequest(const std::string& service, uint32_t priority) {
+MeshView::RootAdmission MeshView::AdmitRootRequest(const EntryClass& entry,
+                                                   const std::string& account) {
+  const auto planned = AskPlan(entry, account, RandomFraction());
+  // The load shedder sees only what the plan admits.
+  RootAdmission admission;
+  if (!planned || planned->admitted) {
+    admission = AskShedder(entry, planned);
+  } else {
+    admission.admitted = false;
+    admission.fraction = planned->fraction;
+    admission.explanation = fmt::format(
+        "{} is short: {} priority {}, planned fraction {:.2f} of {}",
+        planned->bottleneck, entry.service, entry.priority, planned->fraction,
+        planned->account_share ? "account " + account + ", above its fair share"
+                               : "all");
+  }
+  const uint64_t random = m_random.Below(kRandomResolution);
+  std::scoped_lock lock(m_admission_mutex);
+  m_demand.OnRequest(entry, account, admission.admitted, random);
+  return admission;
+}
+
+std::optional<PlannedVerdict> MeshView::AskPlan(const EntryClass& entry,
+                                                const std::string& account,
+                                                double random) {
+  const TimePoint now = m_clock.Now();
+  std::scoped_lock lock(m_admission_mutex);
+  if (!m_planned_admission.IsInForce(now)) {
+    return std::nullopt;
+  }
+  return m_planned_admission.Admit(entry, account, random);
+}
+
+MeshView::RootAdmission MeshView::AskShedder(
+    const EntryClass& entry,
+    const std::optional<PlannedVerdict>& planned) {
   const TimePoint now = m_clock.Now();
-  const double fraction = RandomFraction();
+  const double sample = RandomFraction();
   double lower_priority = 0;
   {
     std::scoped_lock lock(m_priorities_mutex);
-    m_priorities.OnRequest(now, priority);
-    lower_priority = m_priorities.LowerPriorityFraction(priority);
+    m_priorities.OnRequest(now, entry.priority);
+    lower_priority = m_priorities.LowerPriorityFraction(entry.priority);
   }
-  return m_services.With(service, [&](ServiceShard& shard) {
-    return shard.shedders[service].Admit(now, priority, lower_priority,
-                                         fraction);
+  return m_services.With(entry.service, [&](ServiceShard& shard) {
+    LoadShedder& shedder = shard.shedders[entry.service];
+    if (planned) {
+      shedder.FollowPlan(entry.priority, planned->class_fraction);
+    } else {
+      shedder.EndPlan();
+    }
+    RootAdmission admission;
+    admission.admitted =
+        shedder.Admit(now, entry.priority, lower_priority, sample);
+    if (!admission.admitted) {
+      admission.fraction = shedder.admitted(entry.priority);
+      admission.explanation = fmt::format(
+          "{}: priority {}, admitted fraction {:.2f} at pressure {:.2f}",
+          entry.service, entry.priority, admission.fraction,
+          shedder.last_pressure());
+    }
+    return admission;
   });
 }
 
-std::string MeshView::ExplainShedding(const std::string& service,
-                                      uint32_t priority) {
-  return m_services.With(service, [&](ServiceShard& shard) {
-    const LoadShedder& shedder = shard.shedders[service];
-    return fmt::format(
-        "{}: priority {}, admitted fraction {:.2f} at pressure {:.2f}", service,
-        priority, shedder.admitted(priority), shedder.last_pressure());
-  });
+void MeshView::CountRateRefusal(const EntryClass& entry) {
+  std::scoped_lock lock(m_admission_mutex);
+  m_demand.OnRefusedLater(entry);
+}
+
+std::optional<size_t> MeshView::LimitedClasses() const {
+  std::scoped_lock lock(m_admission_mutex);
+  return m_planned_admission.IsInForce(m_clock.Now())
+             ? std::optional(m_planned_admission.limited_classes())
+             : std::nullopt;
 }
 
 void MeshView::RecordPressure(const std::string& service, double pressure) {
@@ -353,16 +407,19 @@
   });
 }
 
-void MeshView::CountRun() {
+void MeshView::CountRun(const EntryClass& entry, TimePoint deadline) {
+  const TimePoint now = m_clock.Now();
   std::scoped_lock lock(m_dependencies_mutex);
-  m_dependencies.OnRun(m_clock.Now());
+  m_dependencies.OnRun(now);
+  m_parent_requests.OnRun(now, deadline, entry);
 }
 
-uint32_t MeshView::CountCall(const std::string& service, TimePoint deadline) {
+ParentRequest MeshView::CountCall(const std::string& service,
+                                  TimePoint deadline) {
   const TimePoint now = m_clock.Now();
   std::scoped_lock lock(m_dependencies_mutex);
   m_dependencies.OnCall(now, service);
-  return m_call_counter.OnCall(now, deadline);
+  return m_parent_requests.OnCall(now, deadline);
 }
 
 void MeshView::RecordDependencyPressures(
--- a/src/programs/mesh/outbound_proxy.cc
+++ b/src/programs/mesh/outbound_proxy.cc
@@ -131,7 +131,11 @@
   if (state.hop.nested) {
     const Duration left =
         caller.time_left.value_or(admitted.route->spec.timeout);
-    state.hop.calls_before = m_view.CountCall(state.hop.service, now + left);
+    const ParentRequest parent =
+        m_view.CountCall(state.hop.service, now + left);
+    state.hop.calls_before = parent.calls_before;
+    state.hop.entry_service = parent.entry.service;
+    state.hop.entry_priority = parent.entry.priority;
   }
   co_await SendWithRetries(state, std::move(cancellation));
   co_return Finish(state);
@@ -161,18 +165,23 @@
     const Admitted& admitted) {
   const std::string& service = state.hop.service;
   state.hop.account = admitted.account->name;
-  const uint32_t priority = SheddingPriority(admitted);
-  if (!m_view.AdmitRootRequest(service, priority)) {
+  const EntryClass entry{service, SheddingPriority(admitted)};
+  state.hop.entry_service = entry.service;
+  state.hop.entry_priority = entry.priority;
+  const MeshView::RootAdmission admission =
+      m_view.AdmitRootRequest(entry, state.hop.account);
+  if (!admission.admitted) {
     co_return Refuse(
         state.hop.request_id,
-        Error{ErrorId::kOverloaded, m_view.ExplainShedding(service, priority)},
-        kDefaultRetryAfter * 3);
+        Error{ErrorId::kOverloaded, admission.explanation},
+        RetryAfterShedding(admission.fraction, m_view.RandomFraction()));
   }
   if (admitted.account->spec.rate <= 0) {
     co_return std::nullopt;
   }
   const auto wait = co_await m_view.TakeToken(state.hop.account);
   if (wait) {
+    m_view.CountRateRefusal(entry);
     co_return Refuse(state.hop.request_id,
                      Error{ErrorId::kRateExceeded, state.hop.account}, *wait);
   }
--- a/tests/unit-sequential-calls.cpp
+++ b/tests/unit-sequential-calls.cpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "rosemarywinch/decisions/traffic/admission_queue.h"
-#include "rosemarywinch/decisions/traffic/request_call_counter.h"
+#include "rosemarywinch/decisions/traffic/parent_requests.h"
 
 namespace rosemarywinch {
 namespace {
@@ -54,7 +54,7 @@
     ticket.nested = true;
     ticket.priority = 0;
     ticket.calls_before =
-        m_call_counter.OnCall(now, m_requests[request].deadline);
+        m_parents.OnCall(now, m_requests[request].deadline).calls_before;
     ticket.deadline = m_requests[request].deadline;
     m_callers[ticket.id] = request;
     Take(now, m_queue.Offer(now, ticket));
@@ -81,7 +81,7 @@
   }
 
   AdmissionQueue m_queue;
-  RequestCallCounter m_call_counter;
+  ParentRequests m_parents;
   std::multimap<TimePoint, uint64_t> m_ends;
   std::map<uint64_t, Request> m_requests;
   std::map<uint64_t, uint64_t> m_callers;
@@ -104,16 +104,44 @@
 
 // Deadlines are sent in whole ms, so those of one request differ slightly.
 BOOST_AUTO_TEST_CASE(calls_with_one_deadline_are_calls_of_one_request) {
-  RequestCallCounter call_counter;
+  ParentRequests parents;
   const TimePoint deadline = kNow + Duration{800};
-  BOOST_TEST(call_counter.OnCall(kNow, deadline) == 0u);
-  BOOST_TEST(call_counter.OnCall(kNow + Duration{40}, deadline + Duration{1}) ==
-             1u);
-  BOOST_TEST(call_counter.OnCall(kNow + Duration{80}, deadline - Duration{1}) ==
-             2u);
-  BOOST_TEST(
-      call_counter.OnCall(kNow + Duration{80}, deadline + Duration{20}) == 0u);
-  BOOST_TEST(call_counter.OnCall(deadline + Duration{50}, deadline) == 0u);
+  const auto calls_before = [&](TimePoint now, TimePoint at) {
+    return parents.OnCall(now, at).calls_before;
+  };
+  BOOST_TEST(calls_before(kNow, deadline) == 0u);
+  BOOST_TEST(calls_before(kNow + Duration{40}, deadline + Duration{1}) == 1u);
+  BOOST_TEST(calls_before(kNow + Duration{80}, deadline - Duration{1}) == 2u);
+  BOOST_TEST(calls_before(kNow + Duration{80}, deadline + Duration{20}) == 0u);
+  BOOST_TEST(calls_before(deadline + Duration{50}, deadline) == 0u);
+}
+
+// Failure: the calls of one class were counted for that of a request whose
+// deadline is a few ms away.
+BOOST_AUTO_TEST_CASE(a_nested_call_has_the_class_of_the_nearest_request) {
+  ParentRequests parents;
+  const TimePoint deadline = kNow + Duration{800};
+  parents.OnRun(kNow, deadline, {"shop", 1});
+  parents.OnRun(kNow, deadline + Duration{6}, {"search", 2});
+  const auto class_at = [&](Duration offset) {
+    return parents.OnCall(kNow, deadline + offset).entry;
+  };
+  BOOST_TEST((class_at({2}) == EntryClass{"shop", 1}));
+  BOOST_TEST((class_at({7}) == EntryClass{"search", 2}));
+  BOOST_TEST((class_at({-1}) == EntryClass{"shop", 1}));
+  BOOST_TEST((class_at({60}) == EntryClass{}));
+}
+
+// Failure: of two requests with one deadline, one got the calls of both.
+BOOST_AUTO_TEST_CASE(requests_with_one_deadline_share_the_calls) {
+  ParentRequests parents;
+  const TimePoint deadline = kNow + Duration{800};
+  parents.OnRun(kNow, deadline, {"shop", 1});
+  parents.OnRun(kNow, deadline, {"search", 2});
+  const ParentRequest first = parents.OnCall(kNow, deadline);
+  const ParentRequest second = parents.OnCall(kNow, deadline);
+  BOOST_TEST((first.entry != second.entry));
+  BOOST_TEST(second.calls_before == 0u);
 }
 
 }  // namespace rosemarywinch
