--- a/include/rosemarywinch/decisions/control/admission_planner.h
+++ b/include/rosemarywinch/decisions/control/admission_planner.h
@@ -65,10 +65,16 @@
     /// Slots used by calls whose root request is unknown.
     double unknown_usage = 0;
     double trim = 1;
+    /// Mean wait one step before, in seconds.
+    double last_wait = 0;
+    /// Steps in sequence in which calls waited or were refused.
+    uint32_t strained_steps = 0;
     TimePoint seen;
 
     /// Mean wait of a call for a slot, in seconds.
     double MeanWait() const;
+    /// Waiting calls are being worked off.
+    bool IsDraining() const;
     double RefusedFraction() const;
     double Capacity() const;
   };
--- a/include/rosemarywinch/decisions/traffic/load_shedder.h
+++ b/include/rosemarywinch/decisions/traffic/load_shedder.h
@@ -86,10 +86,12 @@
   };
 
   void Adjust(TimePoint now);
-  void ApplyPressure(double pressure);
+  void ApplyPressure(double pressure, double intervals);
   PriorityState InitialState(double weight) const;
   void BeginInterval(TimePoint now);
-  void UpdateAdmitted(PriorityState& state, double pressure) const;
+  void UpdateAdmitted(PriorityState& state,
+                      double pressure,
+                      double intervals) const;
   void Recover();
 
   std::map<uint32_t, PriorityState> m_states;
--- a/src/decisions/control/admission_planner.cc
+++ b/src/decisions/control/admission_planner.cc
@@ -37,8 +37,13 @@
 constexpr double kManyRefused = 0.2;
 constexpr double kTrimStep = 0.95;
 constexpr double kGreatTrimStep = 0.9;
-// The factor recovers from the floor within 20 s.
-constexpr double kTrimRecovery = 0.02;
+// Steps until a change of the plan shows in the reports: a poll, the time of
+// the requests, and another poll.
+constexpr uint32_t kStepsToEffect = 3;
+// The factor recovers from the floor within 9 s.
+constexpr double kTrimRecovery = 0.04;
+// A wait that falls by this factor in a step needs no further measure.
+constexpr double kDrainFactor = 0.9;
 constexpr double kMinTrim = 0.3;
 // Calls that wait while fewer slots are busy are a matter of balancing.
 constexpr double kMinBusy = 0.5;
@@ -105,6 +110,10 @@
   return load.waiting / std::max(load.completed_rate, 1.0);
 }
 
+bool AdmissionPlanner::ServiceState::IsDraining() const {
+  return MeanWait() < kDrainFactor * last_wait;
+}
+
 double AdmissionPlanner::ServiceState::RefusedFraction() const {
   return load.refused_rate /
          std::max(load.completed_rate + load.refused_rate, 1.0);
@@ -276,14 +285,15 @@
 
 // While calls wait or are refused, slots are used up whatever was admitted, so
 // a low ratio shows the capacity and not the cost. A high one still shows that
-// requests have become more expensive.
+// requests have become more expensive, except while calls are worked off that
+// were admitted earlier.
 void AdmissionPlanner::UpdateCost(const ServiceState& service,
                                   double usage,
                                   double admitted,
                                   Cost& cost) {
   const bool strained = service.MeanWait() > kStrainedWaitSeconds ||
                         service.RefusedFraction() > kStrainedRefused;
-  if (admitted < kMinMeasuredRate ||
+  if (admitted < kMinMeasuredRate || service.IsDraining() ||
       (strained && usage < cost.slots * admitted)) {
     return;
   }
@@ -299,7 +309,13 @@
     const double wait = service.MeanWait();
     const double refused = service.RefusedFraction();
     const bool busy = service.load.busy > kMinBusy * service.load.usable_slots;
-    if (refused > kMaxRefused || (busy && wait > kMaxWaitSeconds)) {
+    const bool strained =
+        refused > kMaxRefused || (busy && wait > kMaxWaitSeconds);
+    service.strained_steps = strained ? service.strained_steps + 1 : 0;
+    if (strained) {
+      if (service.strained_steps < kStepsToEffect || service.IsDraining()) {
+        continue;
+      }
       const bool far = wait > kLongWaitSeconds || refused > kManyRefused;
       service.trim =
           std::max(kMinTrim, service.trim * (far ? kGreatTrimStep : kTrimStep));
@@ -307,6 +323,9 @@
       service.trim = std::min(1.0, service.trim + kTrimRecovery);
     }
   }
+  for (auto& [name, service] : m_services) {
+    service.last_wait = service.MeanWait();
+  }
   std::erase_if(m_services, [&](const auto& entry) {
     return now >= entry.second.seen + kServiceTtl;
   });
--- a/src/decisions/traffic/load_shedder.cc
+++ b/src/decisions/traffic/load_shedder.cc
@@ -20,13 +20,16 @@
 constexpr double kMaxDecrease = 0.25;
 constexpr double kDecreasePerPressure = 0.1;
 constexpr double kIncrease = 0.03;
-// With an admission plan in force, a collapse is over within a second or two
-// and the plan keeps the load in bounds.
+// Increase for each interval while an admission plan is in force, which keeps
+// the load in bounds. It needs no samples, so that a node with a request every
+// few seconds recovers like the others.
 constexpr double kGuardIncrease = 0.1;
-// Pressure above which requests are shed: without an admission plan, and with
-// one, which itself reacts to a pressure of 1 within a second.
+// Pressure above which requests are shed: without an admission plan; with one
+// that admits the priority whole, so that it may not know of an overload yet;
+// and with one that limits it, under which waiting calls are worked off.
 constexpr double kMaxPressure = 1;
 constexpr double kMaxGuardPressure = 1.5;
+constexpr double kMaxPlannedPressure = 6;
 // Weight added to a priority when all other requests have a lower one; the
 // lowest priority has weight 1.
 constexpr double kMaxExtraWeight = 2;
@@ -119,8 +122,10 @@
       m_last_adjustment + (may_adjust ? kAdjustInterval : kMaxAdjustInterval)) {
     return;
   }
-  if (m_samples > 0) {
-    ApplyPressure(pressure);
+  if (m_samples > 0 || m_plan_in_force) {
+    const double intervals =
+        (now - m_last_adjustment).Seconds() / kAdjustInterval.Seconds();
+    ApplyPressure(pressure, intervals);
   } else if (m_admitted == 0) {
     Recover();
   }
@@ -129,12 +134,13 @@
   BeginInterval(now);
 }
 
-void LoadShedder::ApplyPressure(double pressure) {
+// `intervals` is the time since the last adjustment in adjustment intervals.
+void LoadShedder::ApplyPressure(double pressure, double intervals) {
   m_last_pressure = pressure;
-  UpdateAdmitted(m_lowest, pressure);
-  UpdateAdmitted(m_highest, pressure);
+  UpdateAdmitted(m_lowest, pressure, intervals);
+  UpdateAdmitted(m_highest, pressure, intervals);
   for (auto& [priority, state] : m_states) {
-    UpdateAdmitted(state, pressure);
+    UpdateAdmitted(state, pressure, intervals);
   }
 }
 
@@ -151,14 +157,20 @@
   m_last_adjustment = now;
 }
 
-void LoadShedder::UpdateAdmitted(PriorityState& state, double pressure) const {
-  const double limit = m_plan_in_force ? kMaxGuardPressure : kMaxPressure;
+void LoadShedder::UpdateAdmitted(PriorityState& state,
+                                 double pressure,
+                                 double intervals) const {
+  double limit = kMaxPressure;
+  if (m_plan_in_force) {
+    limit = state.planned < 1 ? kMaxPlannedPressure : kMaxGuardPressure;
+  }
   if (pressure > limit) {
     const double decrease = std::clamp(
         kDecreasePerPressure * (pressure - limit), kMinDecrease, kMaxDecrease);
     state.admitted *= 1 - decrease / state.weight;
   } else {
-    const double increase = m_plan_in_force ? kGuardIncrease : kIncrease;
+    const double increase =
+        m_plan_in_force ? kGuardIncrease * intervals : kIncrease;
     state.admitted += increase * state.weight;
   }
   state.admitted = std::clamp(state.admitted, kMinAdmitted, 1.0);
