Apply the cold limit at the node of the backend server

BackendProxy takes cold_rate from the configuration that the node holds, limits its queue while the backend server is cold, and starts waiting calls by a timer.

Reports of another service than that of the node's settings are answered 400.

--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -30,14 +30,18 @@
 
 /// Forwards requests to the local backend server, which is reached in no other
 /// way. Forwards none once the backend server is leaving, and never more at a
-/// time than LimitWithHeadroom() allows for its slots. Thread-safe.
+/// time than LimitWithHeadroom() allows for its slots, nor faster than a cold
+/// backend server bears (ColdStartLimit). Thread-safe.
 class BackendProxy {
  public:
+  /// `service` is that of the backend server; reports of another service are
+  /// invalid. Empty: any service.
   BackendProxy(const std::string& address,
                Duration silence_timeout,
                uint32_t queue_length,
                MeshProtocol& protocol,
-               Clock& clock);
+               Clock& clock,
+               std::string service = "");
 
   /// Applies a status report of the backend server.
   ReportOutcome OnReport(const ReportCall& call);
@@ -85,6 +89,15 @@
     m_on_run = std::move(on_run);
   }
 
+  /// Sets the source of the settings of the backend server's service; without
+  /// it, or if they set no `cold_rate`, nothing limits a cold backend server.
+  void SetServiceSource(std::function<ServiceSpec()> source) {
+    m_service_source = std::move(source);
+  }
+
+  /// Number of calls refused because the backend server is cold.
+  uint64_t ColdRefusals() const;
+
   /// Returns the pressure of the local backend server, or of a service that it
   /// calls if that is greater.
   double Pressure() const;
@@ -117,6 +130,11 @@
   double QueuePressure() const;
   void ReportStateChange(const char* cause);
   void ApplyPresenceChange(const std::optional<LocalBackend>& before);
+  void UpdateColdStart();
+  void UpdateColdLimit(TimePoint now);
+  double ColdRateOf(const LocalBackend& backend) const;
+  void StartTimer();
+  asio::awaitable<void> StartWaitingCalls(Duration first_wait);
 
   MeshProtocol& m_protocol;
   Clock& m_clock;
@@ -124,6 +142,7 @@
   std::function<void()> m_on_change;
   std::function<void()> m_on_run;
   std::function<std::vector<ServicePressure>()> m_pressure_source;
+  std::function<ServiceSpec()> m_service_source = [] { return ServiceSpec(); };
   mutable std::mutex m_mutex;
   BackendPresence m_presence;
   std::string m_reported_state;
@@ -131,6 +150,9 @@
   AdmissionQueue m_queue;
   uint64_t m_next_ticket = 0;
   std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
+  /// That of the last call; the timer that starts waiting calls runs on it.
+  std::optional<asio::any_io_executor> m_executor;
+  bool m_timer_runs = false;
   std::vector<StoreWaiter> m_store_waiters;
 };
 
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -46,11 +46,12 @@
                            Duration silence_timeout,
                            uint32_t queue_length,
                            MeshProtocol& protocol,
-                           Clock& clock)
+                           Clock& clock,
+                           std::string service)
     : m_protocol(protocol),
       m_clock(clock),
       m_channel(address),
-      m_presence(address, silence_timeout),
+      m_presence(address, silence_timeout, std::move(service)),
       m_queue(StaticLimit{1}, queue_length) {}
 
 ReportOutcome BackendProxy::OnReport(const ReportCall& call) {
@@ -59,6 +60,7 @@
     std::scoped_lock lock(m_mutex);
     const TimePoint now = m_clock.Now();
     const auto before = m_presence.Current(now);
+    UpdateColdStart();
     outcome = m_presence.OnReport(now, m_clock.UnixTime(), call.backend_id,
                                   call.report);
     ApplyPresenceChange(before);
@@ -72,9 +74,11 @@
     const std::optional<LocalBackend>& before) {
   const TimePoint now = m_clock.Now();
   const auto after = m_presence.Current(now);
+  UpdateColdLimit(now);
   if (after) {
     NotifyWaiters(m_queue.SetLimit(now, LimitWithHeadroom(after->slots)));
   }
+  StartTimer();
   if (before && after && before->id != after->id) {
     m_channel.CloseIdle();
   }
@@ -159,6 +163,9 @@
   if (current && m_stopping) {
     current->state = BackendState::kLeaving;
   }
+  if (current) {
+    current->cold_rate = ColdRateOf(*current);
+  }
   return current;
 }
 
@@ -196,7 +203,7 @@
                  co_await WaitForAdmission(request, deadline, signals)) {
     response = NotRun(*refused);
     std::scoped_lock lock(m_mutex);
-    response.retry_after = m_queue.ExpectedWait();
+    response.retry_after = m_queue.TimeUntilStart(m_clock.Now());
   } else {
     const TimePoint began = m_clock.Now();
     m_on_run();
@@ -213,8 +220,8 @@
     const HopRequest& request,
     TimePoint deadline,
     const CallSignals& signals) {
-  const auto waiter =
-      std::make_shared<Waiter>(co_await asio::this_coro::executor);
+  const auto executor = co_await asio::this_coro::executor;
+  const auto waiter = std::make_shared<Waiter>(executor);
   uint64_t id = 0;
   {
     std::scoped_lock lock(m_mutex);
@@ -230,7 +237,11 @@
     ticket.calls_before = request.calls_before;
     ticket.deadline = deadline;
     m_waiters[id] = waiter;
-    NotifyWaiters(m_queue.Offer(m_clock.Now(), std::move(ticket)));
+    m_executor = executor;
+    const TimePoint now = m_clock.Now();
+    UpdateColdLimit(now);
+    NotifyWaiters(m_queue.Offer(now, std::move(ticket)));
+    StartTimer();
   }
   const auto end_wait = [waiter] { waiter->Cancel(); };
   const CancellationCallback watch_cancelled(signals.cancelled, end_wait);
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -49,7 +49,8 @@
                         settings.report_interval * kMaxMissedReports,
                         kQueueLength,
                         protocol,
-                        m_clock),
+                        m_clock,
+                        settings.service),
         m_local_calls(protocol, m_backend_proxy),
         m_links(m_runtime.context()),
         m_hop_client(settings.node_name, m_backend_proxy, m_links, m_clock),
@@ -76,6 +77,10 @@
     m_view.SetTokenCallback([this] { m_poller.RequestTokens(); });
     m_backend_proxy.SetChangeCallback([this] { m_poller.RequestPoll(); });
     m_backend_proxy.SetRunCallback([this] { m_view.CountRun(); });
+    m_backend_proxy.SetServiceSource([this] {
+      const auto config = m_view.CurrentConfigState().config;
+      return config ? config->SettingsOf(m_settings.service) : ServiceSpec();
+    });
     m_backend_proxy.SetPressureSource(
         [this] { return m_view.DependencyPressures(); });
   }
@@ -146,6 +151,8 @@
   }
 
   asio::awaitable<HttpResponse> HandleMetrics() {
+    m_metrics.Set("calls_refused_while_cold",
+                  static_cast<double>(m_backend_proxy.ColdRefusals()));
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = m_metrics.Text();
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -214,6 +214,7 @@
     request.member.service = backend->service;
     request.member.state = backend->state;
     request.member.slots = backend->slots;
+    request.member.cold_rate = backend->cold_rate;
     request.pressure = m_backend_proxy.Pressure();
   }
   request.departures = m_backend_proxy.UnstoredDepartures();
