--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <fstream>
 #include <map>
 #include <memory>
@@ -50,6 +51,12 @@
     return m_received;
   }
 
+  // Times at which the requests arrived.
+  std::vector<std::chrono::steady_clock::time_point> Arrivals() {
+    std::scoped_lock lock(m_mutex);
+    return m_arrivals;
+  }
+
   std::atomic<int> delay_ms{0};
   // Delay of requests whose path ends in "slow".
   std::atomic<int> slow_delay_ms{60'000};
@@ -63,6 +70,7 @@
     {
       std::scoped_lock lock(m_mutex);
       m_received.push_back(request);
+      m_arrivals.push_back(std::chrono::steady_clock::now());
     }
     asio::steady_timer timer(m_context);
     const auto& delay =
@@ -86,6 +94,7 @@
   std::thread m_thread;
   std::mutex m_mutex;
   std::vector<HttpRequest> m_received;
+  std::vector<std::chrono::steady_clock::time_point> m_arrivals;
 };
 
 // Three control replicas and two nodes, each on its own loopback address,
