--- a/tests/unit-cold-start.cpp
+++ b/tests/unit-cold-start.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE cold_start
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <map>
 #include <vector>
 
@@ -194,6 +195,18 @@
               Verdict::kRun));
 }
 
+// Failure: a cold server was thought to have all of its slots free.
+BOOST_AUTO_TEST_CASE(a_cold_server_has_the_slots_that_its_rate_can_fill) {
+  AdmissionQueue queue(LimitWithHeadroom(kSlots), 400);
+  queue.SetColdRate(kNow, 13);
+  queue.Offer(kNow, Call(1, kNow + kSecond));
+  // The mean time of a call becomes 100 ms.
+  queue.Finish(kNow, {1'000, false});
+  BOOST_TEST(std::abs(queue.UsableSlots() - 1.3) < 0.01);
+  queue.SetColdRate(kNow, 0);
+  BOOST_TEST(queue.UsableSlots() == queue.limit());
+}
+
 // A call that may wait is started by Advance(), and not later than told; one
 // whose deadline is earlier is refused at once.
 BOOST_AUTO_TEST_CASE(a_waiting_call_starts_when_the_limit_allows_it) {
