--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -49,7 +49,8 @@
                         settings.report_interval * kMaxMissedReports,
                         kQueueLength,
                         protocol,
-                        m_clock),
+                        m_clock,
+                        settings.service),
         m_local_calls(protocol, m_backend_proxy),
         m_links(m_runtime.context()),
         m_hop_client(settings.node_name, m_backend_proxy, m_links, m_clock),
@@ -79,6 +80,10 @@
         [this](const EntryClass& entry, TimePoint deadline) {
           m_view.CountRun(entry, deadline);
         });
+    m_backend_proxy.SetServiceSource([this] {
+      const auto config = m_view.CurrentConfigState().config;
+      return config ? config->SettingsOf(m_settings.service) : ServiceSpec();
+    });
     m_backend_proxy.SetPressureSource(
         [this] { return m_view.DependencyPressures(); });
   }
@@ -153,6 +158,8 @@
                   static_cast<double>(m_view.evacuated_count()));
     m_metrics.Set("evacuation_refusals",
                   static_cast<double>(m_backend_proxy.evacuation_refusals()));
+    m_metrics.Set("calls_refused_while_cold",
+                  static_cast<double>(m_backend_proxy.ColdRefusals()));
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     const std::optional<size_t> limited = m_view.LimitedClasses();
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -218,6 +218,7 @@
     request.member.slots = backend->slots;
     request.load = m_backend_proxy.TakeLoad();
     request.usage = m_backend_proxy.TakeUsage();
+    request.member.cold_rate = backend->cold_rate;
   }
   request.departures = m_backend_proxy.UnstoredDepartures();
   request.wants_departures = !m_backend_proxy.DeparturesRestored();
