Leave evacuated nodes out of the fleet's pressure

Idle backend servers of an evacuated data centre lowered the mean pressure of their service, so that too little was shed.

--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -107,7 +107,7 @@
   void AddDepartures(const FleetState& state,
                      const PollRequest& request,
                      PollResponse& response) const;
-  void AddPressures(TimePoint now,
+  void AddPressures(const ConsensusDriver::LeaderView& view,
                     const PollRequest& request,
                     PollResponse& response);
   void AddMembers(TimePoint now,
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -8,6 +8,7 @@
 #include "rosemarywinch/adapters/mesh_codec.h"
 #include "rosemarywinch/decisions/control/lease.h"
 #include "rosemarywinch/decisions/fleet/departures.h"
+#include "rosemarywinch/decisions/fleet/evacuations.h"
 #include "rosemarywinch/decisions/fleet/fleet_store.h"
 #include "rosemarywinch/decisions/fleet/policy.h"
 
@@ -62,7 +63,7 @@
   BOOST_LEAF_CHECK(AddMeshConfiguration(view, request, response));
   AddDepartures(*view.state, request, response);
   AddMembers(view.now, request, response);
-  AddPressures(view.now, request, response);
+  AddPressures(view, request, response);
   AddAllowances(view, request, response);
   AddQuotas(view, request, response);
   std::scoped_lock lock(m_version_state.mutex);
@@ -250,11 +251,15 @@
   }
 }
 
-void ControlService::AddPressures(TimePoint now,
+void ControlService::AddPressures(const ConsensusDriver::LeaderView& view,
                                   const PollRequest& request,
                                   PollResponse& response) {
+  const TimePoint now = view.now;
   std::scoped_lock lock(m_pressures.mutex);
-  if (!request.member.service.empty()) {
+  // The backend servers of an evacuated data centre are idle; they would lower
+  // the mean of those that do the work.
+  if (!request.member.service.empty() &&
+      !IsEvacuated(*view.state, request.member.data_centre)) {
     m_pressures.board.OnReport(now, request.node, request.member.service,
                                request.pressure);
   }
--- a/tests/unit-evacuation-calls.cpp
+++ b/tests/unit-evacuation-calls.cpp
@@ -54,11 +54,16 @@
     return answer.get().status;
   }
 
-  std::vector<std::string> Evacuated() {
+  PollResponse Poll(const std::string& data_centre = "", double pressure = 0) {
     PollRequest request;
     request.protocol_version = consensus::kProtocolVersion;
+    request.node = "node in " + data_centre;
+    request.pressure = pressure;
+    if (!data_centre.empty()) {
+      request.member = {request.node, "", data_centre, "shop", {}, 4};
+    }
     const auto outcome = Capture([&] { return m_service.Poll(request); });
-    return std::get<PollResponse>(outcome).evacuated;
+    return std::get<PollResponse>(outcome);
   }
 
  private:
@@ -184,19 +189,34 @@
   control.WaitForLeader();
   BOOST_TEST(control.Call("PUT", "dc1") == 200);
   BOOST_TEST(control.Call("PUT", "dc1") == 200);
-  BOOST_TEST((control.Evacuated() == std::vector<std::string>{"dc1"}));
+  BOOST_TEST((control.Poll().evacuated == std::vector<std::string>{"dc1"}));
   BOOST_TEST(control.Call("PUT", "dc2") == 409);
   BOOST_TEST(control.Call("PUT", "dc3") == 400);
   BOOST_TEST(control.Call("DELETE", "") == 400);
   BOOST_TEST(control.Call("GET", "dc1") == 404);
-  BOOST_TEST((control.Evacuated() == std::vector<std::string>{"dc1"}));
+  BOOST_TEST((control.Poll().evacuated == std::vector<std::string>{"dc1"}));
   BOOST_TEST(control.Call("DELETE", "dc1") == 200);
   BOOST_TEST(control.Call("DELETE", "dc1") == 200);
-  BOOST_TEST(control.Evacuated().empty());
+  BOOST_TEST(control.Poll().evacuated.empty());
   Control alone({1, 2, 3});
   BOOST_TEST(alone.Call("PUT", "dc1") == 503);
 }
 
+// Failure: the idle nodes of an evacuated data centre halve the mean pressure,
+// so that too little is shed.
+BOOST_AUTO_TEST_CASE(idle_evacuated_nodes_do_not_count_in_the_pressure) {
+  Control control({1});
+  control.WaitForLeader();
+  BOOST_REQUIRE(control.Call("PUT", "dc1") == 200);
+  PollResponse response;
+  BOOST_REQUIRE(WaitUntil([&] {
+    control.Poll("dc1", 0);
+    response = control.Poll("dc2", 2);
+    return response.pressures_known && !response.pressures.empty();
+  }));
+  BOOST_TEST(response.pressures.front().pressure == 2);
+}
+
 // Failures: calls that wait at the node run later all the same, and those that
 // run are cut off.
 BOOST_FIXTURE_TEST_CASE(waiting_calls_are_refused_and_running_ones_end_whole,
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -132,5 +132,59 @@
   BOOST_TEST(!goes_on);
 }
 
+// Failure: before this node's next poll, a request without retries ends at the
+// first member of an evacuated data centre, or is refused by all of them in
+// turn.
+BOOST_FIXTURE_TEST_CASE(a_refusal_for_an_evacuation_costs_no_retry, Fixture) {
+  PollResponse poll;
+  poll.cluster = "c";
+  poll.term = 1;
+  poll.config_version = 1;
+  ServiceUpdate update;
+  update.service = "shop";
+  update.revision = 2;
+  update.members = {{"m3", "m3:1", "dc2", "shop", BackendState::kReady, 10}};
+  poll.services = {update};
+  BOOST_REQUIRE(state.ApplyPoll(clock.now, poll));
+  const NotRun evacuated{{ErrorId::kEvacuated, {}}, {}};
+  std::vector<std::string> asked;
+  ALLOW_CALL(channel, Send(_, _, _))
+      .LR_SIDE_EFFECT(asked.push_back(_1))
+      .LR_RETURN(_1 == "m3:1" ? Answer(Ran{HttpResponse{}}, 0)
+                              : Answer(evacuated, 0));
+  envelope.retries = 0;
+  const CallReport report = forwarder.Forward(envelope, request, std::nullopt);
+  BOOST_TEST(std::holds_alternative<Ran>(report.outcome));
+  BOOST_TEST(asked.size() == 2u);
+}
+
+// Failure: a node in an evacuated data centre runs a request that has not
+// started, or learns of the order only from a whole state.
+BOOST_FIXTURE_TEST_CASE(an_evacuated_node_runs_nothing_new, Fixture) {
+  PollResponse poll;
+  poll.cluster = "c";
+  poll.term = 1;
+  poll.config_version = 2;
+  HistoryRecord record;
+  record.version = 2;
+  record.command.change = StartEvacuation{"dc1", {"dc1", "dc2"}};
+  poll.commands = {record};
+  BOOST_REQUIRE(state.ApplyPoll(clock.now, poll));
+  BOOST_REQUIRE(state.IsLocalEvacuated());
+  BOOST_TEST(!state.Choose("shop", {}));
+  Announcement backend;
+  backend.service = "shop";
+  backend.address = "b:1";
+  backend.state = BackendState::kReady;
+  backend.slots = 1;
+  dispatcher.Announce(backend);
+  dispatcher.SetEvacuated(state.IsLocalEvacuated());
+  FORBID_CALL(channel, Send(_, _, _));
+  const CallReport report = dispatcher.Run(envelope, request);
+  BOOST_REQUIRE(std::holds_alternative<NotRun>(report.outcome));
+  BOOST_TEST(
+      (std::get<NotRun>(report.outcome).error.id == ErrorId::kEvacuated));
+}
+
 }  // namespace
 }  // namespace rosemarywinch
--- a/tests/unit-version-tracker.cpp
+++ b/tests/unit-version-tracker.cpp
@@ -23,7 +23,7 @@
   tracker.OnApplied(now, 2);
   tracker.OnPoll(now, "a", 2);
   BOOST_TEST(tracker.InForce(now) == 1u);
-  BOOST_TEST(tracker.PendingNodes(now, 2) == 1u);
+  BOOST_TEST((tracker.PendingNodes(now, 2) == std::vector<std::string>{"b"}));
   tracker.OnPoll(now, "b", 2);
   BOOST_TEST(tracker.InForce(now) == 2u);
 }
