--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -9,6 +9,7 @@
 #include "rosemarywinch/adapters/mesh_codec.h"
 #include "rosemarywinch/decisions/control/lease.h"
 #include "rosemarywinch/decisions/fleet/departures.h"
+#include "rosemarywinch/decisions/fleet/evacuations.h"
 #include "rosemarywinch/decisions/fleet/fleet_store.h"
 #include "rosemarywinch/decisions/fleet/policy.h"
 
@@ -258,8 +259,15 @@
                                   PollResponse& response) {
   std::scoped_lock lock(m_admission.mutex);
   AdmissionPlanner& planner = m_admission.planner;
-  const Outcome<Done> reported =
-      Capture([&] { return planner.OnReport(view.now, request); });
+  const Outcome<Done> reported = Capture([&]() -> Result<Done> {
+    if (!IsEvacuated(*view.state, request.member.data_centre)) {
+      return planner.OnReport(view.now, request);
+    }
+    // The slots of an evacuated data centre are no capacity.
+    PollRequest without_slots = request;
+    without_slots.member.state = BackendState::kLeaving;
+    return planner.OnReport(view.now, without_slots);
+  });
   if (const auto* error = std::get_if<Error>(&reported)) {
     LogEvent(LogLevel::kError, "admission_report_invalid",
              {{"node", request.node}, {"error", error->Message()}});
