Return calls to a data centre within seconds of its return

The local fraction of a data centre whose members were gone or evacuated grew by 5 % a second, so that its calls crossed the links for a minute. It now grows by up to half a second while the data centre is far below the target.

Reports over less than 200 ms are left out, because polls on request may follow within 40 ms, and a replica that no longer leads shows no balances in its metrics. unit-even-load, unit-load-meter and unit-control-service pass.

--- a/include/rosemarywinch/decisions/traffic/load_meter.h
+++ b/include/rosemarywinch/decisions/traffic/load_meter.h
@@ -35,7 +35,7 @@
   void Restart(TimePoint now);
 
   /// Returns the load since the last report, and begins the next interval;
-  /// nothing if no time has passed since.
+  /// nothing if less than 200 ms have passed since.
   std::optional<BackendLoad> Take(TimePoint now, double usable_slots);
 
  private:
--- a/include/rosemarywinch/programs/balance_board.h
+++ b/include/rosemarywinch/programs/balance_board.h
@@ -16,8 +16,8 @@
 /// Thread-safe: services are kept in shards, each under its own lock.
 class BalanceBoard {
  public:
-  /// Starts a term with weights of 1.
-  void OnLeader(TimePoint now, uint64_t term);
+  /// Starts a term with weights of 1; 0 on a replica that does not lead.
+  void Reset(TimePoint now, uint64_t term);
 
   /// Applies the load in a poll, and adds the balances to the response that
   /// are newer than the node's. Calls are kept out of the data centres in
--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -75,7 +75,7 @@
   size_t open_requests() const;
 
   /// Returns the load of the backend server since the last call; nothing
-  /// without a backend server or if no time has passed.
+  /// without a backend server or soon after the last one.
   std::optional<BackendLoad> TakeLoad();
 
   /// Sets the source of the pressure on the services that the backend server
--- a/src/decisions/control/service_balancer.cc
+++ b/src/decisions/control/service_balancer.cc
@@ -67,12 +67,15 @@
 constexpr double kFull = 0.95;
 constexpr double kNotFull = 0.88;
 constexpr double kMaxSpillStep = 1.15;
-constexpr double kReturnStep = 1.05;
+constexpr double kMinReturnStep = 1.05;
+constexpr double kMaxReturnStep = 1.5;
+constexpr double kReturnGain = 0.5;
 constexpr double kMinLocalFraction = 0.05;
 // Headroom above the target utilization that counts as free, and the largest
 // change of the inbound weight in a step.
 constexpr double kInboundHeadroom = 0.1;
 constexpr double kMaxInboundStep = 0.1;
+constexpr double kInboundChange = 0.15;
 
 double Rounded(double value) {
   return std::round(value / kRounding) * kRounding;
@@ -272,10 +275,13 @@
     fraction = std::max(fraction, kMinLocalFraction);
     const double used = data_centre.utilization;
     const double free = target + kInboundHeadroom - used;
-    if (m_full || used < target - kReturnMargin) {
-      fraction = std::min(1.0, fraction * kReturnStep);
-    } else if (used > target + kSpillMargin &&
-               data_centre.usable < usable * (1 - kRounding)) {
+    const bool alone = data_centre.usable >= usable;
+    if (m_full || alone || used < target - kReturnMargin) {
+      const double room = target / (used + kIdleUtilization);
+      const double step = std::clamp(std::pow(room, kReturnGain),
+                                     kMinReturnStep, kMaxReturnStep);
+      fraction = std::min(1.0, fraction * step);
+    } else if (used > target + kSpillMargin) {
       fraction *= std::max(1 / kMaxSpillStep, std::pow(target / used, kGain));
       fraction = std::max(fraction, kMinLocalFraction);
     }
@@ -299,8 +305,9 @@
   for (auto& [name, data_centre] : m_data_centres) {
     // Without calls between data centres it does not matter what they take.
     const double inbound = spills ? data_centre.inbound : 1;
-    changed = changed ||
-              std::abs(Rounded(inbound) - data_centre.published_inbound) > 0.15;
+    changed =
+        changed || std::abs(Rounded(inbound) - data_centre.published_inbound) >
+                       kInboundChange;
   }
   for (const auto& [node, record] : m_members) {
     changed = changed || Changed(record.weight, record.published);
--- a/src/decisions/traffic/load_meter.cc
+++ b/src/decisions/traffic/load_meter.cc
@@ -4,6 +4,15 @@
 
 namespace rosemarywinch {
 
+namespace {
+
+// A poll on request may follow the last one within 40 ms, in which only a few
+// calls end: rates over so short a time are noise.
+constexpr Duration kMinInterval{200};
+constexpr double kMsPerSecond = 1000;
+
+}  // namespace
+
 void LoadMeter::Advance(TimePoint now) {
   const auto elapsed =
       static_cast<double>(std::max<int64_t>(0, (now - m_advanced).ms));
@@ -44,12 +53,12 @@
 
 std::optional<BackendLoad> LoadMeter::Take(TimePoint now, double usable_slots) {
   Advance(now);
-  const auto elapsed_ms = static_cast<double>((now - m_interval_start).ms);
-  if (elapsed_ms <= 0) {
+  if (now < m_interval_start + kMinInterval) {
     return std::nullopt;
   }
+  const auto elapsed_ms = static_cast<double>((now - m_interval_start).ms);
   const auto rate = [&](uint64_t count) {
-    return static_cast<double>(count) * 1000 / elapsed_ms;
+    return static_cast<double>(count) * kMsPerSecond / elapsed_ms;
   };
   BackendLoad load;
   load.usable_slots = usable_slots;
--- a/src/programs/balance_board.cc
+++ b/src/programs/balance_board.cc
@@ -9,7 +9,7 @@
 
 namespace rosemarywinch {
 
-void BalanceBoard::OnLeader(TimePoint now, uint64_t term) {
+void BalanceBoard::Reset(TimePoint now, uint64_t term) {
   m_shards.ForEach([&](Shard& shard) {
     shard.term = term;
     shard.since = now;
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -113,7 +113,7 @@
     std::scoped_lock lock(m_pressures.mutex);
     m_pressures.board.Reset(now);
   }
-  m_balances.OnLeader(now, term);
+  m_balances.Reset(now, term);
   // Without a change there is no account, so that no lease was granted.
   const TimePoint last_earlier_grant = version == 0 ? now - m_lease : now;
   m_allocators.ForEach([&](AllocatorShard& shard) {
@@ -124,7 +124,8 @@
   });
 }
 
-void ControlService::OnFollower(TimePoint) {
+void ControlService::OnFollower(TimePoint now) {
+  m_balances.Reset(now, 0);
   m_version_state.changed.notify_all();
 }
 
--- a/tests/unit-even-load.cpp
+++ b/tests/unit-even-load.cpp
@@ -209,12 +209,23 @@
   BOOST_REQUIRE((closed != shares.end()));
   BOOST_TEST(closed->local_fraction == 0);
   BOOST_TEST(closed->inbound_weight == 0);
+  // After the withdrawal calls return within seconds, but not at once.
+  for (int i = 0; i < 30; ++i, now = now + Duration{500}) {
+    balancer.OnReport(now, a, ++sequence, {16, 4, 0, 10, 0, 0}, {});
+    balancer.OnReport(now, b, sequence, {16, 1, 0, 10, 0, 0}, {});
+    if (i == 4) {
+      const auto early = balancer.NewerThan(now, 0)->data_centres;
+      BOOST_REQUIRE(!early.empty());
+      BOOST_TEST(early.back().local_fraction < 0.5);
+    }
+  }
+  BOOST_TEST(balancer.NewerThan(now, 0)->data_centres.empty());
 }
 
 BOOST_AUTO_TEST_CASE(absurd_numbers_are_a_typed_error_and_change_nothing) {
   const double not_a_number = std::numeric_limits<double>::quiet_NaN();
   BalanceBoard board;
-  board.OnLeader(TimePoint{0}, 1);
+  board.Reset(TimePoint{0}, 1);
   PollRequest request;
   request.node = "n0";
   request.member = {"n0", "", "dc0", "shop", BackendState::kReady, 16};
@@ -239,7 +250,7 @@
 // whose balance is sent to nodes that do not know its service.
 BOOST_AUTO_TEST_CASE(an_unknown_server_disturbs_no_service) {
   BalanceBoard board;
-  board.OnLeader(TimePoint{0}, 1);
+  board.Reset(TimePoint{0}, 1);
   PollResponse response;
   for (int64_t at = 0; at < 10'000; at += 500) {
     PollRequest request;
