--- a/include/rosemarywinch/decisions/traffic/load_shedder.h
+++ b/include/rosemarywinch/decisions/traffic/load_shedder.h
@@ -105,6 +105,7 @@
   /// Requests admitted since the last adjustment.
   uint32_t m_admitted = 0;
   TimePoint m_last_adjustment;
+  TimePoint m_last_sample;
   bool m_plan_in_force = false;
 };
 
--- a/src/decisions/traffic/load_shedder.cc
+++ b/src/decisions/traffic/load_shedder.cc
@@ -84,6 +84,7 @@
 void LoadShedder::OnPressure(TimePoint now, double pressure) {
   m_pressure_sum += pressure;
   ++m_samples;
+  m_last_sample = now;
   Adjust(now);
 }
 
@@ -115,6 +116,11 @@
 }
 
 void LoadShedder::Adjust(TimePoint now) {
+  // A guard against sudden collapse must not act on what is long over.
+  if (m_plan_in_force && now >= m_last_sample + kMaxAdjustInterval) {
+    m_pressure_sum = 0;
+    m_samples = 0;
+  }
   const double pressure = m_samples > 0 ? m_pressure_sum / m_samples : 0;
   const bool may_adjust =
       m_samples >= kMinSamples || (m_samples > 0 && pressure <= 1);
