--- a/include/rosemarywinch/decisions/control/admission_planner.h
+++ b/include/rosemarywinch/decisions/control/admission_planner.h
@@ -35,10 +35,13 @@
   /// Forgets all reports, for the leader of a new term.
   void Reset(TimePoint now, uint64_t term);
 
-  /// Records what a node reports. Errors: kBadValue for numbers that are not
-  /// finite, negative or absurdly great, and for lists that are too long;
-  /// nothing has changed then.
-  Result<Done> OnReport(TimePoint now, const PollRequest& request);
+  /// Records what a node reports. The capacity of a backend server that is not
+  /// `in_use`, because its data centre is evacuated, doesn't count. Errors:
+  /// kBadValue for numbers that are not finite, negative or absurdly great, and
+  /// for lists that are too long; nothing has changed then.
+  Result<Done> OnReport(TimePoint now,
+                        const PollRequest& request,
+                        bool in_use = true);
 
   /// Returns whether all nodes have had time to report.
   bool IsComplete(TimePoint now) const;
--- a/include/rosemarywinch/decisions/control/capacity_shares.h
+++ b/include/rosemarywinch/decisions/control/capacity_shares.h
@@ -36,15 +36,20 @@
   std::optional<size_t> bottleneck;
 };
 
+/// Divides the capacities of the services, in slots, over the classes as if all
+/// had the same priority: all are filled in proportion until a service that
+/// they need is used up (progressive filling); the others go on.
+std::vector<ClassShare> DivideInProportion(
+    const std::vector<ClassDemand>& classes,
+    const std::vector<double>& capacities);
+
 /// Divides the capacities of the services, in slots, over the classes.
 ///
 /// First each class gets a least fraction: kLeastShare of what it would get if
 /// all had the same priority, and at least kProbe. The remaining capacity goes
-/// to the classes in the order of their priorities. Classes of one priority are
-/// filled in proportion until a service that they need is used up (progressive
-/// filling); the others go on.
-/// Complexity: linear in the costs of a priority's classes times the services
-/// that are used up.
+/// to the classes in the order of their priorities, and is divided in
+/// proportion over those of one priority. Complexity: linear in the costs of a
+/// priority's classes times the services that are used up.
 std::vector<ClassShare> DivideCapacity(const std::vector<ClassDemand>& classes,
                                        const std::vector<double>& capacities);
 
--- a/include/rosemarywinch/decisions/traffic/entry_demand_meter.h
+++ b/include/rosemarywinch/decisions/traffic/entry_demand_meter.h
@@ -37,7 +37,8 @@
   void OnRefusedLater(const EntryClass& entry);
 
   /// Returns the rates since the last call of Take(), and starts a new period.
-  /// Returns nothing, and goes on with the period, if it has no length yet.
+  /// Returns the last result again, and goes on with the period, if that is too
+  /// short for a meaningful rate.
   std::vector<EntryDemand> Take(TimePoint now);
 
  private:
@@ -49,6 +50,7 @@
   };
 
   std::map<EntryClass, Demand> m_demands;
+  std::vector<EntryDemand> m_last;
   TimePoint m_since;
 };
 
--- a/include/rosemarywinch/decisions/traffic/entry_usage_meter.h
+++ b/include/rosemarywinch/decisions/traffic/entry_usage_meter.h
@@ -21,8 +21,8 @@
   void End(TimePoint now, const std::string& entry_service);
 
   /// Returns the mean number of slots in use since the last call of Take(), and
-  /// starts a new period. Returns nothing, and goes on with the period, if it
-  /// has no length yet.
+  /// starts a new period. Returns the last result again, and goes on with the
+  /// period, if that is too short for a meaningful mean.
   std::vector<EntryUsage> Take(TimePoint now);
 
  private:
@@ -36,6 +36,7 @@
   static void CountUntil(TimePoint now, Usage& usage);
 
   std::map<std::string, Usage> m_usages;
+  std::vector<EntryUsage> m_last;
   TimePoint m_since;
 };
 
--- a/src/decisions/control/admission_planner.cc
+++ b/src/decisions/control/admission_planner.cc
@@ -91,14 +91,14 @@
   mean += gain * (sample - mean);
 }
 
-BackendLoad LoadOf(const PollRequest& request) {
+BackendLoad LoadOf(const PollRequest& request, bool in_use) {
   BackendLoad load = request.load.value_or(BackendLoad{});
   if (!request.load) {
     load.usable_slots = kUsableSlots * request.member.slots;
   }
   const bool serves = request.member.state == BackendState::kReady ||
                       request.member.state == BackendState::kStarting;
-  if (request.leaving || !serves) {
+  if (request.leaving || !serves || !in_use) {
     load.usable_slots = 0;
   }
   return load;
@@ -159,10 +159,12 @@
 }
 
 Result<Done> AdmissionPlanner::OnReport(TimePoint now,
-                                        const PollRequest& request) {
+                                        const PollRequest& request,
+                                        bool in_use) {
   BOOST_LEAF_CHECK(CheckReport(request));
-  m_reports[request.node] = {now, request.member.service, LoadOf(request),
-                             request.demand, request.usage};
+  m_reports[request.node] = {now, request.member.service,
+                             LoadOf(request, in_use), request.demand,
+                             request.usage};
   return Done{};
 }
 
--- a/src/decisions/control/capacity_shares.cc
+++ b/src/decisions/control/capacity_shares.cc
@@ -98,16 +98,23 @@
 
 }  // namespace
 
-std::vector<ClassShare> DivideCapacity(const std::vector<ClassDemand>& classes,
-                                       const std::vector<double>& capacities) {
+std::vector<ClassShare> DivideInProportion(
+    const std::vector<ClassDemand>& classes,
+    const std::vector<double>& capacities) {
   std::vector<size_t> all(classes.size());
   std::iota(all.begin(), all.end(), 0);
   std::vector<double> remaining = capacities;
   std::vector<ClassShare> shares(classes.size());
   Filling(classes, remaining, shares).Run(all);
-  remaining = capacities;
+  return shares;
+}
+
+std::vector<ClassShare> DivideCapacity(const std::vector<ClassDemand>& classes,
+                                       const std::vector<double>& capacities) {
+  std::vector<ClassShare> shares = DivideInProportion(classes, capacities);
+  std::vector<double> remaining = capacities;
   std::map<uint32_t, std::vector<size_t>> by_priority;
-  for (const size_t index : all) {
+  for (size_t index = 0; index < classes.size(); ++index) {
     const ClassDemand& demand = classes[index];
     shares[index] = {std::max(kProbe, kLeastShare * shares[index].fraction),
                      std::nullopt};
--- a/src/decisions/traffic/entry_demand_meter.cc
+++ b/src/decisions/traffic/entry_demand_meter.cc
@@ -1,9 +1,18 @@
 #include "rosemarywinch/decisions/traffic/entry_demand_meter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemarywinch {
 
+namespace {
+
+// Polls are as close as 40 ms while something changes; a rate over so short a
+// time would stand for the next half second.
+constexpr Duration kMinPeriod{250};
+
+}  // namespace
+
 void EntryDemandMeter::OnRequest(const EntryClass& entry,
                                  const std::string& account,
                                  bool admitted,
@@ -29,11 +38,11 @@
 }
 
 std::vector<EntryDemand> EntryDemandMeter::Take(TimePoint now) {
-  std::vector<EntryDemand> demands;
-  const double length = (now - m_since).Seconds();
-  if (length <= 0) {
-    return demands;
+  if (now < m_since + kMinPeriod) {
+    return m_last;
   }
+  const double length = (now - m_since).Seconds();
+  std::vector<EntryDemand> demands;
   for (auto& [entry, demand] : m_demands) {
     EntryDemand report;
     report.service = entry.service;
@@ -54,7 +63,8 @@
   }
   m_demands.clear();
   m_since = now;
-  return demands;
+  m_last = std::move(demands);
+  return m_last;
 }
 
 }  // namespace rosemarywinch
--- a/src/decisions/traffic/entry_usage_meter.cc
+++ b/src/decisions/traffic/entry_usage_meter.cc
@@ -1,9 +1,18 @@
 #include "rosemarywinch/decisions/traffic/entry_usage_meter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemarywinch {
 
+namespace {
+
+// Polls are as close as 40 ms while something changes; a rate over so short a
+// time would stand for the next half second.
+constexpr Duration kMinPeriod{250};
+
+}  // namespace
+
 void EntryUsageMeter::CountUntil(TimePoint now, Usage& usage) {
   usage.slot_ms += usage.running * (now - usage.counted_until).ms;
   usage.counted_until = now;
@@ -22,11 +31,11 @@
 }
 
 std::vector<EntryUsage> EntryUsageMeter::Take(TimePoint now) {
-  std::vector<EntryUsage> usages;
-  const auto length = static_cast<double>((now - m_since).ms);
-  if (length <= 0) {
-    return usages;
+  if (now < m_since + kMinPeriod) {
+    return m_last;
   }
+  const auto length = static_cast<double>((now - m_since).ms);
+  std::vector<EntryUsage> usages;
   for (auto& [entry_service, usage] : m_usages) {
     CountUntil(now, usage);
     if (usage.slot_ms > 0) {
@@ -38,7 +47,8 @@
   std::erase_if(m_usages,
                 [](const auto& entry) { return entry.second.running == 0; });
   m_since = now;
-  return usages;
+  m_last = std::move(usages);
+  return m_last;
 }
 
 }  // namespace rosemarywinch
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -225,10 +225,13 @@
 void ControlService::AddAdmission(const ConsensusDriver::LeaderView& view,
                                   const PollRequest& request,
                                   PollResponse& response) {
+  const std::vector<std::string>& evacuated = view.state->evacuated;
+  const bool in_use = std::find(evacuated.begin(), evacuated.end(),
+                                request.member.data_centre) == evacuated.end();
   std::scoped_lock lock(m_admission.mutex);
   AdmissionPlanner& planner = m_admission.planner;
   const Outcome<Done> reported =
-      Capture([&] { return planner.OnReport(view.now, request); });
+      Capture([&] { return planner.OnReport(view.now, request, in_use); });
   if (const auto* error = std::get_if<Error>(&reported)) {
     LogEvent(LogLevel::kError, "admission_report_invalid",
              {{"node", request.node}, {"error", error->Message()}});
