--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -6,6 +6,7 @@
 #include "fixtures.h"
 #include "rosemarywinch/adapters/json_codec.h"
 #include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/decisions/control/admission_planner.h"
 #include "rosemarywinch/decisions/traffic/admission_queue.h"
 #include "rosemarywinch/decisions/traffic/client_key.h"
 #include "rosemarywinch/decisions/traffic/route_table.h"
@@ -125,6 +126,55 @@
 }
 BENCHMARK(BM_ChooseMember)->Arg(13)->Arg(130);
 
+// Report of one node of a fleet with 110 services, each with four times the
+// demand that it bears, of three priorities and 200 accounts.
+PollRequest MakeAdmissionReport(int node) {
+  constexpr int kServices = 110;
+  constexpr int kClasses = 5;
+  constexpr int kAccounts = 200;
+  const auto name = [](int service) {
+    return "service" + std::to_string(service % kServices);
+  };
+  PollRequest report;
+  report.node = "node" + std::to_string(node);
+  report.member.service = name(node);
+  report.member.state = BackendState::kReady;
+  report.load = BackendLoad{10, 9, 0, 90, 0, 0};
+  for (int i = 0; i < kClasses; ++i) {
+    EntryDemand demand{
+        name(node * kClasses + i), static_cast<uint32_t>(i % 3), 40, 10, {}};
+    for (int sample = 0; sample < 4; ++sample) {
+      const int account = (node * 7 + i * 4 + sample) % kAccounts;
+      demand.accounts.push_back({"account" + std::to_string(account), 10});
+    }
+    report.demand.push_back(std::move(demand));
+    report.usage.push_back({name(node + i), 1.8});
+  }
+  return report;
+}
+
+void BM_AdmissionPlan(benchmark::State& run) {
+  std::vector<PollRequest> reports;
+  for (int node = 0; node < run.range(0); ++node) {
+    reports.push_back(MakeAdmissionReport(node));
+  }
+  AdmissionPlanner planner;
+  TimePoint now = kAfterStartup;
+  planner.Reset(now, 1);
+  for (auto _ : run) {
+    now = now + Duration{600};
+    for (const PollRequest& report : reports) {
+      benchmark::DoNotOptimize(
+          Capture([&] { return planner.OnReport(now, report); }));
+    }
+    benchmark::DoNotOptimize(
+        planner.Plan(now, [](const std::string&) { return 0.0; }));
+  }
+  run.counters["entries"] =
+      static_cast<double>(planner.current().entries.size());
+}
+BENCHMARK(BM_AdmissionPlan)->Arg(80)->Arg(1400)->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace rosemarywinch::bench
 
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <memory>
 #include <set>
@@ -52,6 +54,19 @@
   return ids;
 }
 
+// Returns the classes that the plan admits in part, in the Prometheus text
+// format.
+std::string AdmissionMetrics(const AdmissionPlan& plan) {
+  std::string text;
+  for (const EntryAdmission& entry : plan.entries) {
+    text += fmt::format(
+        "rosemarywinch_admission_fraction{{service=\"{}\",priority=\"{}\","
+        "bottleneck=\"{}\"}} {}\n",
+        entry.service, entry.priority, entry.bottleneck, entry.fraction);
+  }
+  return text;
+}
+
 /// Sends messages between replicas over links. A replica id is the IPv4 address
 /// of its host as a number.
 class LinkPeerTransport : public PeerTransport {
@@ -184,6 +199,9 @@
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = m_metrics.Text();
+    if (status.leader) {
+      response.body += AdmissionMetrics(m_service.CurrentPlan());
+    }
     co_return response;
   }
 
