--- a/tests/unit-admission-plan.cpp
+++ b/tests/unit-admission-plan.cpp
@@ -153,8 +153,9 @@
   BOOST_TEST(fractions[1] == 1.0, boost::test_tools::tolerance(1e-6));
   BOOST_TEST(fractions[2] == 2.0 / 7, boost::test_tools::tolerance(1e-6));
   // An account that sends nearly everything keeps its least share.
-  const auto least = DivideAmongAccounts(0.012, {{"a", 10}, {"b", 990}});
-  BOOST_TEST(least[1] == kLeastShare * 0.012,
+  std::vector<AccountDemand> accounts(20, {"small", 10});
+  accounts.push_back({"large", 800});
+  BOOST_TEST(DivideAmongAccounts(0.24, accounts).back() == kLeastShare * 0.24,
              boost::test_tools::tolerance(1e-6));
 }
 
--- a/tests/unit-admission-queue.cpp
+++ b/tests/unit-admission-queue.cpp
@@ -81,6 +81,48 @@
   BOOST_TEST(queue.in_flight() == 0u);
 }
 
+// Failure: calls of lookups ran before those of bookings at a service deep in
+// the call chain.
+BOOST_AUTO_TEST_CASE(nested_calls_run_by_calls_made_and_then_by_entry_class) {
+  AdmissionQueue queue = MakeQueue(1, 10);
+  queue.Offer(kNow, Make(1, RequestClass::kLookup));
+  const auto offer = [&](uint64_t id, uint32_t calls_before,
+                         std::optional<uint32_t> entry_priority) {
+    Ticket ticket = Make(id, RequestClass::kLookup, "a", true);
+    ticket.calls_before = calls_before;
+    ticket.entry_priority = entry_priority;
+    queue.Offer(kNow, ticket);
+  };
+  offer(2, 0, std::nullopt);
+  offer(3, 0, 2);
+  offer(4, 0, 0);
+  offer(5, 2, 2);
+  offer(6, 0, 0);
+  for (const uint64_t expected : {5u, 6u, 4u, 3u, 2u}) {
+    BOOST_TEST(queue.Finish(kNow, {}).at(0).ticket == expected);
+  }
+}
+
+// Failure: a call that could not end in its time was held until its deadline,
+// when its caller could not go elsewhere any more.
+BOOST_AUTO_TEST_CASE(a_call_that_cannot_end_in_its_time_is_refused_early) {
+  AdmissionQueue queue = MakeQueue(1, 10);
+  queue.Offer(kNow, Make(1, RequestClass::kLookup));
+  for (uint64_t id = 2; id < 80; ++id) {
+    queue.Offer(kNow, Make(id, RequestClass::kLookup));
+    queue.Finish(kNow, {100, false});
+  }
+  Ticket hopeless = Make(80, RequestClass::kLookup);
+  hopeless.deadline = kNow + Duration{150};
+  const auto admissions = queue.Offer(kNow, hopeless);
+  BOOST_TEST(admissions.at(0).ticket == 80u);
+  BOOST_TEST((admissions.at(0).verdict == Verdict::kRefuse));
+  BOOST_TEST((admissions.at(0).reason == ErrorId::kOverloaded));
+  hopeless.id = 81;
+  hopeless.deadline = kNow + Duration{400};
+  BOOST_TEST((queue.Offer(kNow, hopeless).at(0).verdict == Verdict::kWait));
+}
+
 // An essential call must never be refused for overload while a lookup waits,
 // whatever the order of events. Random sequences from 100 seeds.
 BOOST_AUTO_TEST_CASE(lookups_are_always_shed_before_essential_calls) {
