--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -258,17 +258,11 @@
 void ControlService::AddAdmission(const ConsensusDriver::LeaderView& view,
                                   const PollRequest& request,
                                   PollResponse& response) {
+  const bool in_use = !IsEvacuated(*view.state, request.member.data_centre);
   std::scoped_lock lock(m_admission.mutex);
   AdmissionPlanner& planner = m_admission.planner;
-  const Outcome<Done> reported = Capture([&]() -> Result<Done> {
-    if (!IsEvacuated(*view.state, request.member.data_centre)) {
-      return planner.OnReport(view.now, request);
-    }
-    // The slots of an evacuated data centre are no capacity.
-    PollRequest without_slots = request;
-    without_slots.member.state = BackendState::kLeaving;
-    return planner.OnReport(view.now, without_slots);
-  });
+  const Outcome<Done> reported =
+      Capture([&] { return planner.OnReport(view.now, request, in_use); });
   if (const auto* error = std::get_if<Error>(&reported)) {
     LogEvent(LogLevel::kError, "admission_report_invalid",
              {{"node", request.node}, {"error", error->Message()}});
