Stop using a backend server that was replaced until it reports

An answer "misdirected" (421) says that another incarnation listens at the address. It is new and may be cold, but the node went on sending at the rate of the earlier one until the next report. It now takes the backend server out of use until its next report, as after a refused connection; a report that came after the call was sent stands.

unit-cold-proxy (4 cases), unit-cold-start (9), unit-backend-presence (16), unit-local-calls, process-platform and process-stop-restart pass.

--- a/include/rosemarywinch/decisions/mesh/backend_presence.h
+++ b/include/rosemarywinch/decisions/mesh/backend_presence.h
@@ -86,9 +86,10 @@
 
   const DepartureTracker& departures() const { return m_departures; }
 
-  /// Handles a refused connection to the backend server: nothing listens at its
-  /// address. The incarnation is absent until its next report.
-  void OnConnectionRefused(TimePoint now);
+  /// Handles the proof that the incarnation was gone at `seen`: a refused
+  /// connection, or the answer that another one listens at its address. Without
+  /// a report since, it is absent until the next one.
+  void OnGone(TimePoint seen);
 
   /// Returns the backend server if it is present; it may be leaving.
   std::optional<LocalBackend> Current(TimePoint now) const;
@@ -106,7 +107,7 @@
   DepartureTracker m_departures;
   TimePoint m_last_heard;
   TimePoint m_cold_until;
-  bool m_refused = false;
+  bool m_gone = false;
 };
 
 }  // namespace rosemarywinch
--- a/src/decisions/mesh/backend_presence.cc
+++ b/src/decisions/mesh/backend_presence.cc
@@ -62,14 +62,14 @@
     return ReportOutcome::kStale;
   }
   // A report that says nothing about the cold period does not end it.
-  if (report.cold_left || !same_incarnation || m_refused) {
+  if (report.cold_left || !same_incarnation || m_gone) {
     m_cold_until = now + report.cold_left.value_or(m_cold_start);
   }
   m_backend = {id, *report.service, BackendState::kReady, *report.slots};
   m_born = born;
   m_sequence = *report.sequence;
   m_last_heard = now;
-  m_refused = false;
+  m_gone = false;
   return ReportOutcome::kAccepted;
 }
 
@@ -89,13 +89,13 @@
   return departure;
 }
 
-void BackendPresence::OnConnectionRefused(TimePoint now) {
-  m_refused = m_last_heard < now;
+void BackendPresence::OnGone(TimePoint seen) {
+  m_gone = m_gone || m_last_heard < seen;
 }
 
 std::optional<LocalBackend> BackendPresence::Current(TimePoint now) const {
   const bool present = m_departures.restored() && !m_backend.id.empty() &&
-                       now < m_last_heard + m_timeout && !m_refused;
+                       now < m_last_heard + m_timeout && !m_gone;
   if (!present) {
     return std::nullopt;
   }
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -279,6 +279,7 @@
   if (left < kMinWorkTime) {
     co_return NotRun(ErrorId::kDeadlinePassed);
   }
+  const TimePoint sent = m_clock.Now();
   BackendResult result = co_await m_channel.Send(
       m_protocol.WriteBackendRequest(request, backend->id, left),
       [&](const HttpResponse& response, bool reused) {
@@ -286,14 +287,19 @@
             m_protocol.ReadBackendAnswer(request, response), reused);
       },
       left + kResponseGrace, signals.cancelled);
-  if (result.refused) {
+  const bool refused = result.refused;
+  HopResponse response = ReadResult(request, std::move(result));
+  const bool replaced = response.reached_backend &&
+                        response.outcome == HopOutcome::kNotRun &&
+                        response.reason == ErrorId::kNoBackend;
+  if (refused || replaced) {
     {
       std::scoped_lock lock(m_mutex);
-      m_presence.OnConnectionRefused(m_clock.Now());
+      m_presence.OnGone(refused ? m_clock.Now() : sent);
     }
-    ReportStateChange("refused");
+    ReportStateChange(refused ? "refused" : "misdirected");
   }
-  co_return ReadResult(request, std::move(result));
+  co_return response;
 }
 
 HopResponse BackendProxy::ReadResult(const HopRequest& request,
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -61,6 +61,7 @@
   // Delay of requests whose path ends in "slow".
   std::atomic<int> slow_delay_ms{60'000};
   std::atomic<bool> wrong_id{false};
+  std::atomic<bool> misdirected{false};
   std::atomic<int> abandoned{0};
 
  private:
@@ -82,6 +83,7 @@
     }
     abandoned += cancellation->cancelled() ? 1 : 0;
     HttpResponse response;
+    response.status = misdirected ? 421 : 200;
     const std::string* id = request.headers.Find("X-Request-Id");
     response.headers.Add("X-Request-Id", wrong_id ? "another" : *id);
     response.headers.Add("X-Server-Seal", "seal");
--- a/tests/unit-cold-proxy.cpp
+++ b/tests/unit-cold-proxy.cpp
@@ -134,6 +134,26 @@
   BOOST_TEST(Answered() == 2u);
 }
 
+// Failure: between a restart and its first report, a backend server got calls
+// at the rate that the earlier incarnation bore.
+BOOST_FIXTURE_TEST_CASE(a_replaced_server_gets_calls_after_its_report_only,
+                        Fixture) {
+  Report(0);
+  backend.misdirected = true;
+  // Not in the millisecond of the report, which may come after the answer.
+  Call(10);
+  Finish();
+  BOOST_TEST(!proxy.Current().has_value());
+  backend.misdirected = false;
+  Call(0);
+  Finish();
+  BOOST_TEST(backend.Received().size() == 1u);
+  Report(3'000);
+  Call(0);
+  Finish();
+  BOOST_TEST(Answered() == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_service_without_a_cold_rate_is_served_as_before,
                         Fixture) {
   settings.cold_rate = 0;
--- a/tests/unit-cold-start.cpp
+++ b/tests/unit-cold-start.cpp
@@ -255,7 +255,7 @@
 
   // One that was unreachable may have restarted.
   const TimePoint later = kNow + kSecond * 4;
-  presence.OnConnectionRefused(later);
+  presence.OnGone(later);
   BOOST_TEST(!presence.Current(later).has_value());
   presence.OnReport(later, unix_now, "i-1", Report(3, 1'000));
   BOOST_TEST(IsCold(presence, later));
@@ -264,6 +264,10 @@
   presence.OnReport(later, unix_now, "i-1", warm);
   BOOST_TEST(!IsCold(presence, later));
 
+  // What was seen before the last report says nothing about it.
+  presence.OnGone(later - Duration{1});
+  BOOST_TEST(presence.Current(later).has_value());
+
   // A late report of an earlier incarnation changes nothing.
   BackendReport next = Report(1, 9'000);
   next.cold_left = Duration{3'000};
