Bound memory of large bodies; count link bytes; keep late readers

Large bodies: a node held request bodies whole, in several copies, with no bound on their sum. MemoryBudget bounds bodies over all connections and links of a process: half of the new setting memory_limit (160 MB by default, filled from limits.memory-mb). The memory is taken when the length is known; a body that does not fit is refused as not run before it is read (503 with Retry-After for a client, `overloaded` for another node).

Late readers: TCP_USER_TIMEOUT (5 s) also counts the time in which a peer answers the probes of a closed window, so Linux ended the connection. Clients' connections do not set it; PeerWatch disconnects a peer that acknowledges nothing for 5 s, or takes nothing of its response for 60 s. Responses that wait count against the budget. With the option set to 5 s the new test a_caller_that_reads_late_gets_its_whole_answer reads 49,152 of 4,000,000 bytes, without it all.

Counters: LinkTraffic counts bytes and frames of all links by direction, type and place of the peer, in atomic counters, in the metrics of nodes and control.

--- a/gen/rosemarywinch/schema/link.h
+++ b/gen/rosemarywinch/schema/link.h
@@ -16,6 +16,24 @@
 
 namespace rosemarywinch {
 
+enum class PeerPlace {
+  kUnknown = 0,
+  kSameDataCentre = 1,
+  kOtherDataCentre = 2,
+};
+
+inline constexpr std::array<EnumEntry<PeerPlace>, 3> kPeerPlaceTable{{
+    {PeerPlace::kUnknown, "unknown", "not known", "", 0},
+    {PeerPlace::kSameDataCentre, "same_data_centre", "in this data centre", "",
+     0},
+    {PeerPlace::kOtherDataCentre, "other_data_centre", "in another data centre",
+     "", 0},
+}};
+
+constexpr const auto& EnumTable(PeerPlace /*tag*/) {
+  return kPeerPlaceTable;
+}
+
 enum class FrameType {
   kPing = 0,
   kPong = 1,
--- a/gen/rosemarywinch/schema/mesh_settings.h
+++ b/gen/rosemarywinch/schema/mesh_settings.h
@@ -31,11 +31,12 @@
   Duration poll_interval{500};
   Duration report_interval{1500};
   double stop_grace = 6;
+  uint32_t memory_limit = 160;
 
   bool operator==(const MeshNodeSettings&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 14> kMeshNodeSettingsFields{{
+inline constexpr std::array<FieldInfo, 15> kMeshNodeSettingsFields{{
     {"node_name", "", 0, 0, "", "name of this node", "", {}, 1, {}},
     {"data_centre", "", 0, 0, "", "data centre of this node", "", {}, 2, {}},
     {"service",
@@ -131,6 +132,16 @@
      {},
      14,
      {}},
+    {"memory_limit",
+     "MB",
+     32,
+     1048576,
+     "160",
+     "memory of this process, above which the platform ends it",
+     "",
+     {},
+     15,
+     {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -151,6 +162,7 @@
   visit(kMeshNodeSettingsFields[11], self.poll_interval);
   visit(kMeshNodeSettingsFields[12], self.report_interval);
   visit(kMeshNodeSettingsFields[13], self.stop_grace);
+  visit(kMeshNodeSettingsFields[14], self.memory_limit);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -176,6 +188,7 @@
   visit(kMeshNodeSettingsFields[12], self.report_interval,
         other.report_interval);
   visit(kMeshNodeSettingsFields[13], self.stop_grace, other.stop_grace);
+  visit(kMeshNodeSettingsFields[14], self.memory_limit, other.memory_limit);
 }
 
 struct MeshControlSettings {
--- a/include/rosemarywinch/adapters/async/async_http_connection.h
+++ b/include/rosemarywinch/adapters/async/async_http_connection.h
@@ -13,6 +13,7 @@
 
 #include "rosemarywinch/adapters/async/async_http_server.h"
 #include "rosemarywinch/adapters/async/http_serialization.h"
+#include "rosemarywinch/adapters/async/peer_watch.h"
 
 namespace rosemarywinch {
 
@@ -43,6 +44,8 @@
     std::shared_ptr<CancellationToken> cancellation =
         std::make_shared<CancellationToken>();
     std::optional<HttpResponse> response;
+    /// Memory of the body, for as long as the exchange exists.
+    MemoryShare memory;
     bool head = false;
   };
   using Parser =
@@ -55,8 +58,11 @@
   asio::awaitable<void> RunHandler(std::shared_ptr<Exchange> exchange,
                                    HttpRequest request);
   bool ParseBuffered();
-  void Dispatch(BeastRequest message);
-  void RejectInput(int status);
+  void Dispatch(BeastRequest message, MemoryShare memory);
+  void RejectInput(int status, HttpHeaders headers = {});
+  /// Takes memory for the body as far as its length is known. Returns whether
+  /// it fits; otherwise the request is refused as not run.
+  bool CheckMemory();
   void ResetParser();
   std::optional<std::chrono::steady_clock::time_point> NextTimeout() const;
   /// Sends no more and reads on without using it, until the peer closes or its
@@ -72,12 +78,14 @@
   const std::shared_ptr<AsyncHttpServer> m_server;
   Strand m_strand;
   Tcp::socket m_socket;
+  PeerWatch m_peer;
   const AsyncServerLimits m_limits;
   const bool m_from_this_host;
   /// Target of a read; the bytes are then appended to `m_buffer`.
   std::array<char, kReadBytes> m_chunk;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
+  MemoryShare m_memory;
   std::deque<std::shared_ptr<Exchange>> m_exchanges;
   /// Never expires; cancelled to wake the loops that wait for a change of this
   /// connection.
@@ -96,6 +104,9 @@
   /// Everything is written; FinishAndClose() was called.
   bool m_finishing = false;
   bool m_closed = false;
+  /// The rest of a refused body is read and ignored, so that the response
+  /// arrives before the connection ends.
+  bool m_body_refused = false;
   /// The parse loop must send 100 Continue. Set only while no exchange is open,
   /// so that it cannot interleave with a response.
   bool m_continue_wanted = false;
--- a/include/rosemarywinch/adapters/async/async_http_server.h
+++ b/include/rosemarywinch/adapters/async/async_http_server.h
@@ -15,6 +15,7 @@
 
 #include "rosemarywinch/adapters/async/cancellation_token.h"
 #include "rosemarywinch/adapters/async/net.h"
+#include "rosemarywinch/decisions/traffic/memory_budget.h"
 #include "rosemarywinch/interfaces/http.h"
 
 namespace rosemarywinch {
@@ -40,10 +41,15 @@
 /// responses are sent in order. Thread-safe.
 class AsyncHttpServer : public std::enable_shared_from_this<AsyncHttpServer> {
  public:
-  AsyncHttpServer(asio::io_context& context, AsyncHandler handler)
+  /// `memory` bounds the bodies of requests, null: unbounded. It must outlive
+  /// the handlers that run on `context`.
+  AsyncHttpServer(asio::io_context& context,
+                  AsyncHandler handler,
+                  MemoryBudget* memory = nullptr)
       : m_context(context),
         m_strand(asio::make_strand(context.get_executor())),
-        m_handler(std::move(handler)) {}
+        m_handler(std::move(handler)),
+        m_memory(memory) {}
 
   /// Starts accepting connections. Errors: kBadValue, kPortInUse.
   Result<Done> Start(const std::string& address);
@@ -84,6 +90,7 @@
   /// Serializes access to the listening socket.
   Strand m_strand;
   const AsyncHandler m_handler;
+  MemoryBudget* const m_memory;
   std::unique_ptr<Tcp::acceptor> m_acceptor;
   std::atomic<bool> m_closing{false};
   std::atomic<bool> m_closed_to_other_hosts{false};
--- a/include/rosemarywinch/adapters/async/frame_link.h
+++ b/include/rosemarywinch/adapters/async/frame_link.h
@@ -11,17 +11,21 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "rosemarywinch/adapters/async/frame_stream.h"
+#include "rosemarywinch/adapters/async/link_traffic.h"
 #include "rosemarywinch/adapters/async/net.h"
+#include "rosemarywinch/decisions/traffic/memory_budget.h"
 #include "rosemarywinch/schema/link.h"
 
 namespace rosemarywinch {
 
-/// One message on a link. Frames of one exchange carry its number.
-struct Frame {
-  FrameType type = FrameType::kPing;
-  uint64_t exchange = 0;
-  std::string payload;
+/// What the links of a process share. Null: not counted, not bounded.
+struct LinkResources {
+  LinkTraffic* traffic = nullptr;
+  MemoryBudget* memory = nullptr;
 };
 
 /// A connection between two processes of the fleet that multiplexes the frames
@@ -41,7 +45,10 @@
   /// Called once, on the strand, when the link has closed.
   using OnClosed = std::function<void(const std::shared_ptr<FrameLink>& link)>;
 
-  FrameLink(asio::io_context& context, OnFrame on_frame, OnClosed on_closed);
+  FrameLink(asio::io_context& context,
+            OnFrame on_frame,
+            OnClosed on_closed,
+            LinkResources resources = {});
 
   /// Takes ownership of an accepted connection.
   void Accept(Tcp::socket socket);
@@ -50,7 +57,10 @@
   void Connect(const std::string& address);
 
   /// Sends a frame; thread-safe. Frames sent on a closed link are lost.
-  void Send(const Frame& frame);
+  void Send(Frame frame);
+
+  /// Sets where the peer is, for the counters; thread-safe.
+  void SetPlace(PeerPlace place) { m_place = place; }
 
   /// Closes the link; thread-safe.
   void Close();
@@ -84,9 +94,9 @@
   asio::awaitable<void> ReadLoop();
   asio::awaitable<void> WriteLoop();
   asio::awaitable<void> KeepAliveLoop();
-  bool ProcessFrames(std::string& buffer);
-  void SendOnStrand(FrameType type, const std::string& text);
-  void Write(const std::string& text);
+  void HandleFrame(Frame frame, uint64_t bytes);
+  void SendOnStrand(Frame frame);
+  void Write(Frame frame);
   void BeginVerification(SteadyTime now);
   void OnData();
   void CountFrame(FrameType type, bool sent);
@@ -100,7 +110,9 @@
   Tcp::socket m_socket;
   const OnFrame m_on_frame;
   OnClosed m_on_closed;
-  std::string m_outgoing;
+  const LinkResources m_resources;
+  std::atomic<PeerPlace> m_place = PeerPlace::kUnknown;
+  FrameQueue m_outgoing;
   asio::steady_timer m_output_ready;
   asio::steady_timer m_check;
   SteadyTime m_last_received;
@@ -113,7 +125,7 @@
   bool m_connected = false;
   bool m_verifying = false;
   /// Frames to be sent once the peer has answered.
-  std::string m_held;
+  std::vector<Frame> m_held;
   std::atomic<bool> m_closed = false;
 };
 
@@ -122,7 +134,8 @@
  public:
   FrameListener(asio::io_context& context,
                 FrameLink::OnFrame on_frame,
-                FrameLink::OnClosed on_closed);
+                FrameLink::OnClosed on_closed,
+                LinkResources resources = {});
 
   /// Starts accepting links. Errors: kBadValue, kPortInUse.
   Result<Done> Start(const std::string& address);
@@ -131,6 +144,7 @@
   asio::io_context& m_context;
   const FrameLink::OnFrame m_on_frame;
   const FrameLink::OnClosed m_on_closed;
+  const LinkResources m_resources;
   std::unique_ptr<Tcp::acceptor> m_acceptor;
 };
 
--- a/include/rosemarywinch/adapters/async/http_serialization.h
+++ b/include/rosemarywinch/adapters/async/http_serialization.h
@@ -37,6 +37,9 @@
 /// without a body lacks. Hop-by-hop headers are omitted.
 std::string SerializeRequest(const HttpRequest& request);
 
+/// As SerializeRequest(), without the body, so that a large one is not copied.
+std::string SerializeRequestHead(const HttpRequest& request);
+
 }  // namespace rosemarywinch
 
 #endif  // ROSEMARYWINCH_ADAPTERS_ASYNC_HTTP_SERIALIZATION_H_
--- a/include/rosemarywinch/adapters/async/link_client.h
+++ b/include/rosemarywinch/adapters/async/link_client.h
@@ -37,16 +37,19 @@
 /// links and open exchanges are sharded, each shard under its own lock.
 class LinkClient {
  public:
-  explicit LinkClient(asio::io_context& context) : m_context(context) {}
+  explicit LinkClient(asio::io_context& context, LinkResources resources = {})
+      : m_context(context), m_resources(resources) {}
 
   /// Sends a frame and waits for the reply, for `limit` at most. After a
-  /// timeout or a cancellation it sends a cancel frame to the peer.
+  /// timeout or a cancellation it sends a cancel frame to the peer. `place` is
+  /// where the peer is, if it is known.
   asio::awaitable<ExchangeResult> Exchange(
       std::string address,
       FrameType type,
       std::string payload,
       Duration limit,
-      std::shared_ptr<CancellationToken> cancellation);
+      std::shared_ptr<CancellationToken> cancellation,
+      PeerPlace place = PeerPlace::kUnknown);
 
   /// Cancels the hop requests that are queued at their nodes, which answer them
   /// as not run; those that run are not affected. Later ones are not sent.
@@ -75,6 +78,7 @@
                 const std::shared_ptr<FrameLink>& link);
 
   asio::io_context& m_context;
+  const LinkResources m_resources;
   std::atomic<uint64_t> m_next_exchange{1};
   std::atomic<bool> m_closed_to_hop_requests{false};
   Sharded<LinkShard> m_links;
--- a/include/rosemarywinch/programs/mesh/hop_client.h
+++ b/include/rosemarywinch/programs/mesh/hop_client.h
@@ -16,10 +16,12 @@
 class HopClient : public HopChannel {
  public:
   HopClient(std::string node,
+            std::string data_centre,
             BackendProxy& backend_proxy,
             LinkClient& links,
             Clock& clock)
       : m_node(std::move(node)),
+        m_data_centre(std::move(data_centre)),
         m_backend_proxy(backend_proxy),
         m_links(links),
         m_clock(clock) {}
@@ -35,7 +37,10 @@
       const HopRequest& request,
       std::shared_ptr<CancellationToken> cancellation);
 
+  PeerPlace PlaceOf(const Member& member) const;
+
   const std::string m_node;
+  const std::string m_data_centre;
   BackendProxy& m_backend_proxy;
   LinkClient& m_links;
   Clock& m_clock;
--- a/include/rosemarywinch/programs/mesh/hop_server.h
+++ b/include/rosemarywinch/programs/mesh/hop_server.h
@@ -23,7 +23,8 @@
  public:
   HopServer(asio::io_context& context,
             const std::string& address,
-            BackendProxy& backend_proxy);
+            BackendProxy& backend_proxy,
+            LinkResources resources = {});
 
   /// Starts accepting links. Errors: kBadValue, kPortInUse.
   Result<Done> Start() { return m_listener.Start(m_address); }
--- a/src/adapters/async/async_http_connection.cc
+++ b/src/adapters/async/async_http_connection.cc
@@ -24,9 +24,6 @@
 // Reading pauses while this many bytes wait for the parser, for instance
 // because kMaxPipelined requests are running.
 constexpr size_t kMaxReadAhead = 65'536;
-// A caller that neither reads nor acknowledges responses is disconnected after
-// this time.
-constexpr Duration kDeadPeerTimeout{5'000};
 // For a response to arrive, and for the peer to see that the connection ends.
 constexpr Duration kLingerTime{1'000};
 constexpr int kBadRequest = 400;
@@ -34,6 +31,7 @@
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
 constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int StatusOf(error_code error) {
@@ -55,12 +53,12 @@
     : m_server(std::move(server)),
       m_strand(asio::make_strand(m_server->m_context.get_executor())),
       m_socket(std::move(socket)),
+      m_peer(m_socket),
       m_limits(m_server->limits()),
       m_from_this_host(IsFromThisHost(m_socket)),
       m_changed(m_strand, SteadyClock::time_point::max()),
       m_timeout(m_strand),
       m_last_activity(SteadyClock::now()) {
-  SetConnectionOptions(m_socket, kDeadPeerTimeout);
   ResetParser();
 }
 
@@ -101,6 +99,7 @@
   m_parser->eager(true);
   m_parser->header_limit(static_cast<uint32_t>(m_limits.max_header_bytes));
   m_parser->body_limit(m_limits.max_body_bytes);
+  m_memory = MemoryShare(m_server->m_memory);
   m_partial = false;
   m_continue_wanted = false;
 }
@@ -131,7 +130,11 @@
       Close();
       co_return;
     }
-    if (m_finishing) {
+    if (m_finishing || m_body_refused) {
+      if (m_body_refused &&
+          SteadyClock::now() < m_request_start + ToChrono(kBodyTimeout)) {
+        m_last_response = SteadyClock::now();
+      }
       continue;
     }
     m_buffer.commit(asio::buffer_copy(m_buffer.prepare(count),
@@ -178,10 +181,14 @@
     RejectInput(StatusOf(error));
     return false;
   }
+  if (!CheckMemory()) {
+    return false;
+  }
   if (m_parser->is_done()) {
     BeastRequest message = m_parser->release();
+    MemoryShare memory = std::move(m_memory);
     ResetParser();
-    Dispatch(std::move(message));
+    Dispatch(std::move(message), std::move(memory));
     return true;
   }
   if (!had_header && m_parser->is_header_done()) {
@@ -191,9 +198,10 @@
   return used > 0;
 }
 
-void AsyncHttpConnection::Dispatch(BeastRequest message) {
+void AsyncHttpConnection::Dispatch(BeastRequest message, MemoryShare memory) {
   const auto exchange = std::make_shared<Exchange>();
   exchange->head = message.method() == http::verb::head;
+  exchange->memory = std::move(memory);
   m_last_request = !message.keep_alive();
   m_exchanges.push_back(exchange);
   ++m_server->m_open_requests;
@@ -222,9 +230,27 @@
   Wake();
 }
 
-void AsyncHttpConnection::RejectInput(int status) {
+bool AsyncHttpConnection::CheckMemory() {
+  if (!m_parser->is_header_done()) {
+    return true;
+  }
+  const uint64_t length = m_parser->content_length().value_or(0);
+  const uint64_t body = m_parser->get().body().capacity();
+  if (m_memory.GrowTo(std::max(length, body))) {
+    return true;
+  }
+  m_body_refused = true;
+  m_parser.emplace();
+  m_buffer.clear();
+  HttpHeaders headers;
+  headers.Add("Retry-After", "1");
+  RejectInput(kUnavailable, std::move(headers));
+  return false;
+}
+
+void AsyncHttpConnection::RejectInput(int status, HttpHeaders headers) {
   const auto exchange = std::make_shared<Exchange>();
-  exchange->response = HttpResponse{status, {}, "", false};
+  exchange->response = HttpResponse{status, std::move(headers), "", false};
   ++m_server->m_open_requests;
   m_exchanges.push_back(exchange);
   m_last_request = true;
@@ -251,10 +277,11 @@
     const bool close = m_last_request && m_exchanges.size() == 1;
     const std::string text =
         SerializeResponse(*exchange->response, {close, exchange->head});
-    error_code error;
-    co_await asio::async_write(
-        m_socket, asio::buffer(text),
-        asio::redirect_error(asio::use_awaitable, error));
+    // The response is held until the caller has taken it.
+    exchange->response->body.clear();
+    exchange->response->body.shrink_to_fit();
+    exchange->memory.Hold(text.size());
+    const error_code error = co_await m_peer.Write(text);
     if (m_closed) {
       co_return;
     }
@@ -292,6 +319,10 @@
 
 asio::awaitable<void> AsyncHttpConnection::TimeoutLoop() {
   while (!m_closed) {
+    if (!m_exchanges.empty() && m_peer.IsDead()) {
+      Close();
+      co_return;
+    }
     const auto due = NextTimeout();
     if (due && SteadyClock::now() >= *due) {
       if (!m_partial) {
@@ -300,9 +331,13 @@
       }
       RejectInput(kRequestTimeout);
     }
-    const auto pause = ToChrono(m_limits.header_timeout);
-    m_timeout.expires_at(due ? std::max(*due, SteadyClock::now())
-                             : SteadyClock::now() + pause);
+    const auto now = SteadyClock::now();
+    const auto check = now + ToChrono(PeerWatch::kCheckInterval);
+    auto wake = std::max(due.value_or(check), now);
+    if (!m_exchanges.empty()) {
+      wake = std::min(wake, check);
+    }
+    m_timeout.expires_at(wake);
     error_code ignored;
     co_await m_timeout.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/adapters/async/backend_channel.cc
+++ b/src/adapters/async/backend_channel.cc
@@ -1,6 +1,7 @@
 #include "rosemarywinch/adapters/async/backend_channel.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -179,8 +180,10 @@
     SetConnectionOptions(connection->socket, kDeadPeerTimeout);
   }
   Attempt attempt(executor, *connection, limit, cancellation);
-  const std::string text = SerializeRequest(request);
-  co_await asio::async_write(connection->socket, asio::buffer(text),
+  const std::string head = SerializeRequestHead(request);
+  const std::array<asio::const_buffer, 2> parts{asio::buffer(head),
+                                                asio::buffer(request.body)};
+  co_await asio::async_write(connection->socket, parts,
                              asio::redirect_error(asio::use_awaitable, error));
   boost::beast::flat_buffer buffer(kMaxUnparsedBytes);
   bool in_sync = true;
--- a/src/adapters/async/frame_link.cc
+++ b/src/adapters/async/frame_link.cc
@@ -7,7 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
-#include <cstring>
+#include <optional>
 #include <utility>
 
 namespace rosemarywinch {
@@ -17,11 +17,6 @@
 using boost::system::error_code;
 using SteadyClock = std::chrono::steady_clock;
 
-// Payload length, frame type and exchange number, in host byte order.
-constexpr size_t kHeaderBytes =
-    sizeof(uint32_t) + sizeof(uint8_t) + sizeof(uint64_t);
-// Larger than the largest body with its headers.
-constexpr uint32_t kMaxPayload = 80u << 20;
 constexpr size_t kReadBytes = 16'384;
 constexpr Duration kConnectTimeout{800};
 // A loop that wakes this late counts as a stall of this process.
@@ -34,16 +29,6 @@
   return std::chrono::milliseconds(length.ms);
 }
 
-std::string SerializeFrame(const Frame& frame) {
-  std::string text(kHeaderBytes, '\0');
-  const auto length = static_cast<uint32_t>(frame.payload.size());
-  std::memcpy(text.data(), &length, sizeof(length));
-  text[sizeof(length)] = static_cast<char>(frame.type);
-  std::memcpy(text.data() + sizeof(length) + 1, &frame.exchange,
-              sizeof(frame.exchange));
-  return text + frame.payload;
-}
-
 bool OpensExchange(FrameType type) {
   return type == FrameType::kHopRequest || type == FrameType::kPollRequest;
 }
@@ -56,11 +41,13 @@
 
 FrameLink::FrameLink(asio::io_context& context,
                      OnFrame on_frame,
-                     OnClosed on_closed)
+                     OnClosed on_closed,
+                     LinkResources resources)
     : m_strand(asio::make_strand(context.get_executor())),
       m_socket(m_strand),
       m_on_frame(std::move(on_frame)),
       m_on_closed(std::move(on_closed)),
+      m_resources(resources),
       m_output_ready(m_strand, SteadyClock::time_point::max()),
       m_check(m_strand, SteadyClock::time_point::max()),
       m_last_received(SteadyClock::now()) {}
@@ -83,34 +70,39 @@
       asio::detached);
 }
 
-void FrameLink::Send(const Frame& frame) {
-  asio::post(m_strand, [self = shared_from_this(), type = frame.type,
-                        text = SerializeFrame(frame)] {
-    self->SendOnStrand(type, text);
-  });
+void FrameLink::Send(Frame frame) {
+  asio::post(m_strand,
+             [self = shared_from_this(), frame = std::move(frame)]() mutable {
+               self->SendOnStrand(std::move(frame));
+             });
 }
 
-void FrameLink::SendOnStrand(FrameType type, const std::string& text) {
+void FrameLink::SendOnStrand(Frame frame) {
   const auto now = SteadyClock::now();
   const bool stale = m_connected && m_open_exchanges == 0 &&
                      now >= m_last_received + ToChrono(kFreshFor);
-  if (stale && OpensExchange(type)) {
+  if (stale && OpensExchange(frame.type)) {
     BeginVerification(now);
   }
-  CountFrame(type, /*sent=*/true);
-  if (type == FrameType::kPeerMessage) {
+  CountFrame(frame.type, /*sent=*/true);
+  if (frame.type == FrameType::kPeerMessage) {
     m_last_one_way = now;
   }
   Watch(now);
   if (m_verifying) {
-    m_held += text;
+    m_held.push_back(std::move(frame));
   } else {
-    Write(text);
+    Write(std::move(frame));
   }
 }
 
-void FrameLink::Write(const std::string& text) {
-  m_outgoing += text;
+void FrameLink::Write(Frame frame) {
+  if (m_resources.traffic != nullptr) {
+    m_resources.traffic->Count(LinkTraffic::Direction::kSent, frame.type,
+                               m_place,
+                               kFrameHeaderBytes + frame.payload.size());
+  }
+  m_outgoing.Add(std::move(frame));
   m_output_ready.cancel();
 }
 
@@ -118,7 +110,7 @@
 void FrameLink::BeginVerification(SteadyTime now) {
   m_verifying = true;
   m_silent_since = now;
-  Write(SerializeFrame({FrameType::kPing, 0, ""}));
+  Write({FrameType::kPing, 0, ""});
   m_check.cancel();
 }
 
@@ -126,7 +118,9 @@
   m_last_received = SteadyClock::now();
   m_silent_since = m_last_received;
   if (std::exchange(m_verifying, false)) {
-    Write(std::exchange(m_held, {}));
+    for (Frame& frame : std::exchange(m_held, {})) {
+      Write(std::move(frame));
+    }
   }
 }
 
@@ -200,9 +194,9 @@
 }
 
 asio::awaitable<void> FrameLink::ReadLoop() {
-  std::string buffer;
+  FrameReader reader(m_resources.memory);
   std::array<char, kReadBytes> chunk;
-  while (!m_closed) {
+  while (!m_closed && !reader.failed()) {
     error_code error;
     const size_t count = co_await m_socket.async_read_some(
         asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
@@ -210,43 +204,25 @@
       break;
     }
     OnData();
-    buffer.append(chunk.data(), count);
-    if (!ProcessFrames(buffer)) {
-      break;
+    reader.Append({chunk.data(), count});
+    while (std::optional<Frame> frame = reader.Next()) {
+      HandleFrame(std::move(*frame), reader.frame_bytes());
     }
   }
   CloseOnStrand();
 }
 
-// Handles and removes the complete frames at the start of `buffer`. Returns
-// false on a protocol violation.
-bool FrameLink::ProcessFrames(std::string& buffer) {
-  size_t used = 0;
-  while (buffer.size() - used >= kHeaderBytes) {
-    const char* at = buffer.data() + used;
-    uint32_t length = 0;
-    std::memcpy(&length, at, sizeof(length));
-    if (length > kMaxPayload) {
-      return false;
-    }
-    if (buffer.size() - used < kHeaderBytes + length) {
-      break;
-    }
-    Frame frame;
-    frame.type = static_cast<FrameType>(at[sizeof(length)]);
-    std::memcpy(&frame.exchange, at + sizeof(length) + 1,
-                sizeof(frame.exchange));
-    frame.payload.assign(at + kHeaderBytes, length);
-    used += kHeaderBytes + length;
-    CountFrame(frame.type, /*sent=*/false);
-    if (frame.type == FrameType::kPing) {
-      Write(SerializeFrame({FrameType::kPong, frame.exchange, ""}));
-    } else if (frame.type != FrameType::kPong) {
-      m_on_frame(shared_from_this(), std::move(frame));
-    }
+void FrameLink::HandleFrame(Frame frame, uint64_t bytes) {
+  if (m_resources.traffic != nullptr) {
+    m_resources.traffic->Count(LinkTraffic::Direction::kReceived, frame.type,
+                               m_place, bytes);
+  }
+  CountFrame(frame.type, /*sent=*/false);
+  if (frame.type == FrameType::kPing) {
+    Write({FrameType::kPong, frame.exchange, ""});
+  } else if (frame.type != FrameType::kPong) {
+    m_on_frame(shared_from_this(), std::move(frame));
   }
-  buffer.erase(0, used);
-  return true;
 }
 
 asio::awaitable<void> FrameLink::WriteLoop() {
@@ -257,11 +233,14 @@
           asio::redirect_error(asio::use_awaitable, ignored));
       continue;
     }
-    const std::string text = std::exchange(m_outgoing, {});
+    const std::vector<std::string> parts = m_outgoing.Take();
+    std::vector<asio::const_buffer> buffers;
+    for (const std::string& part : parts) {
+      buffers.push_back(asio::buffer(part));
+    }
     error_code error;
     co_await asio::async_write(
-        m_socket, asio::buffer(text),
-        asio::redirect_error(asio::use_awaitable, error));
+        m_socket, buffers, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       break;
     }
@@ -292,7 +271,7 @@
       break;
     }
     if (now >= m_silent_since + ToChrono(kPingInterval)) {
-      Write(SerializeFrame({FrameType::kPing, 0, ""}));
+      Write({FrameType::kPing, 0, ""});
     }
   }
   CloseOnStrand();
@@ -314,10 +293,12 @@
 
 FrameListener::FrameListener(asio::io_context& context,
                              FrameLink::OnFrame on_frame,
-                             FrameLink::OnClosed on_closed)
+                             FrameLink::OnClosed on_closed,
+                             LinkResources resources)
     : m_context(context),
       m_on_frame(std::move(on_frame)),
-      m_on_closed(std::move(on_closed)) {}
+      m_on_closed(std::move(on_closed)),
+      m_resources(resources) {}
 
 Result<Done> FrameListener::Start(const std::string& address) {
   BOOST_LEAF_AUTO(acceptor, Listen(m_context.get_executor(), address));
@@ -327,7 +308,8 @@
       [this] {
         return AcceptConnections(
             *m_acceptor, m_context.get_executor(), [this](Tcp::socket socket) {
-              std::make_shared<FrameLink>(m_context, m_on_frame, m_on_closed)
+              std::make_shared<FrameLink>(m_context, m_on_frame, m_on_closed,
+                                          m_resources)
                   ->Accept(std::move(socket));
             });
       },
--- a/src/adapters/async/http_serialization.cc
+++ b/src/adapters/async/http_serialization.cc
@@ -93,7 +93,7 @@
   return text;
 }
 
-std::string SerializeRequest(const HttpRequest& request) {
+std::string SerializeRequestHead(const HttpRequest& request) {
   std::string text = request.method + " ";
   if (!request.target.empty()) {
     text += request.target;
@@ -107,7 +107,11 @@
   if (!omit_length) {
     text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   }
-  return text + "\r\n" + request.body;
+  return text + "\r\n";
+}
+
+std::string SerializeRequest(const HttpRequest& request) {
+  return SerializeRequestHead(request) + request.body;
 }
 
 }  // namespace rosemarywinch
--- a/src/adapters/async/link_client.cc
+++ b/src/adapters/async/link_client.cc
@@ -27,11 +27,15 @@
     FrameType type,
     std::string payload,
     Duration limit,
-    std::shared_ptr<CancellationToken> cancellation) {
+    std::shared_ptr<CancellationToken> cancellation,
+    PeerPlace place) {
   const uint64_t exchange = m_next_exchange++;
   const auto reply =
       std::make_shared<Reply>(co_await asio::this_coro::executor);
   const std::shared_ptr<FrameLink> link = GetOrConnect(address);
+  if (place != PeerPlace::kUnknown) {
+    link->SetPlace(place);
+  }
   m_exchanges.With(ShardKey(exchange), [&](ExchangeShard& shard) {
     shard.open[exchange] = {reply, link, type};
   });
@@ -95,7 +99,8 @@
           },
           [this, address](const std::shared_ptr<FrameLink>& closed) {
             OnClosed(address, closed);
-          });
+          },
+          m_resources);
       link->Connect(address);
     }
     return link;
--- a/src/adapters/message_sinks.cc
+++ b/src/adapters/message_sinks.cc
@@ -74,6 +74,13 @@
 
 void CborSink::Value(std::string_view text) {
   AppendHead(m_bytes, MajorType::kText, text.size());
+  // A large text is followed by little else, for which the memory is not
+  // doubled.
+  constexpr size_t kLarge = 65'536;
+  constexpr size_t kSpare = 4'096;
+  if (text.size() > kLarge) {
+    m_bytes.reserve(m_bytes.size() + text.size() + kSpare);
+  }
   m_bytes += text;
 }
 
--- a/src/programs/mesh/hop_client.cc
+++ b/src/programs/mesh/hop_client.cc
@@ -74,7 +74,15 @@
     std::shared_ptr<CancellationToken> cancellation) {
   return m_links.Exchange(member.address, FrameType::kHopRequest,
                           ToWire(request), request.time_left + kResponseGrace,
-                          std::move(cancellation));
+                          std::move(cancellation), PlaceOf(member));
+}
+
+PeerPlace HopClient::PlaceOf(const Member& member) const {
+  if (member.data_centre.empty()) {
+    return PeerPlace::kUnknown;
+  }
+  return member.data_centre == m_data_centre ? PeerPlace::kSameDataCentre
+                                             : PeerPlace::kOtherDataCentre;
 }
 
 }  // namespace rosemarywinch
--- a/src/programs/mesh/hop_server.cc
+++ b/src/programs/mesh/hop_server.cc
@@ -15,11 +15,21 @@
   return std::to_string(exchange);
 }
 
+Outcome<HopRequest> Decode(const Frame& frame) {
+  return Capture([&]() -> Result<HopRequest> {
+    if (frame.skipped) {
+      return Fail(ErrorId::kOverloaded, "no memory for the request");
+    }
+    return FromWire<HopRequest>(frame.payload);
+  });
+}
+
 }  // namespace
 
 HopServer::HopServer(asio::io_context& context,
                      const std::string& address,
-                     BackendProxy& backend_proxy)
+                     BackendProxy& backend_proxy,
+                     LinkResources resources)
     : m_address(address),
       m_backend_proxy(backend_proxy),
       m_listener(
@@ -27,7 +37,8 @@
           [this](const std::shared_ptr<FrameLink>& link, Frame frame) {
             OnFrame(link, std::move(frame));
           },
-          [this](const std::shared_ptr<FrameLink>& link) { OnClosed(link); }) {}
+          [this](const std::shared_ptr<FrameLink>& link) { OnClosed(link); },
+          resources) {}
 
 void HopServer::OnFrame(const std::shared_ptr<FrameLink>& link, Frame frame) {
   if (frame.type == FrameType::kHopRequest) {
@@ -101,8 +112,7 @@
                                      Frame frame,
                                      CallSignals signals) {
   const uint64_t exchange = frame.exchange;
-  Outcome<HopRequest> decoded =
-      Capture([&] { return FromWire<HopRequest>(frame.payload); });
+  Outcome<HopRequest> decoded = Decode(frame);
   HopResponse response;
   if (auto* request = std::get_if<HopRequest>(&decoded)) {
     response = co_await m_backend_proxy.Run(std::move(*request), signals);
@@ -110,7 +120,7 @@
     const Error& error = std::get<Error>(decoded);
     response.outcome = HopOutcome::kNotRun;
     response.reason = error.id;
-    LogEvent(LogLevel::kError, "hop_malformed", {{"error", error.Message()}});
+    LogEvent(LogLevel::kError, "hop_rejected", {{"error", error.Message()}});
   }
   m_exchanges.With(ShardKey(exchange), [&](Shard& shard) {
     shard.open.erase({link.get(), exchange});
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -77,7 +77,7 @@
               MeshProtocol& protocol)
       : m_settings(settings),
         m_runtime(kIoThreads),
-        m_links(m_runtime.context()),
+        m_links(m_runtime.context(), {&m_traffic, nullptr}),
         m_transport(m_links, PortOf(settings.peer_address).value_or(0)),
         m_storage(settings.data_folder),
         m_service(settings.withdrawal_limit * kLeasePercent / kPercent,
@@ -99,7 +99,8 @@
             [this](const std::shared_ptr<FrameLink>& link, const Frame& frame) {
               OnFrame(link, frame);
             },
-            [](const std::shared_ptr<FrameLink>&) {}),
+            [](const std::shared_ptr<FrameLink>&) {},
+            {&m_traffic, nullptr}),
         m_seed_watcher(m_runtime.context(),
                        source.file,
                        settings.seeds,
@@ -183,7 +184,7 @@
                   static_cast<double>(status.commit_index));
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
-    response.body = m_metrics.Text();
+    response.body = m_metrics.Text() + m_traffic.Text();
     co_return response;
   }
 
@@ -191,6 +192,7 @@
   SystemClock m_clock;
   SystemRandom m_random;
   Metrics m_metrics;
+  LinkTraffic m_traffic;
   MeshRuntime m_runtime;
   LinkClient m_links;
   LinkPeerTransport m_transport;
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -34,6 +34,10 @@
 constexpr int64_t kMaxMissedReports = 4;
 constexpr int64_t kMsPerSecond = 1000;
 constexpr Duration kStopCheckInterval{50};
+// Part of the memory of the process that large request bodies may use. The rest
+// is for the program, small requests and responses.
+constexpr uint64_t kBodyPercent = 50;
+constexpr uint64_t kPercent = 100;
 
 /// A node of the mesh; owns its components.
 class MeshNode {
@@ -43,6 +47,7 @@
            MeshProtocol& protocol)
       : m_settings(settings),
         m_protocol(protocol),
+        m_memory(BodyBytes(settings)),
         m_runtime(std::min(std::thread::hardware_concurrency(), kMaxIoThreads)),
         m_view(settings.data_centre, m_clock, m_random),
         m_backend_proxy(settings.backend_address,
@@ -51,11 +56,16 @@
                         protocol,
                         m_clock),
         m_local_calls(protocol, m_backend_proxy),
-        m_links(m_runtime.context()),
-        m_hop_client(settings.node_name, m_backend_proxy, m_links, m_clock),
+        m_links(m_runtime.context(), {&m_traffic, &m_memory}),
+        m_hop_client(settings.node_name,
+                     settings.data_centre,
+                     m_backend_proxy,
+                     m_links,
+                     m_clock),
         m_hop_server(m_runtime.context(),
                      settings.peer_address,
-                     m_backend_proxy),
+                     m_backend_proxy,
+                     {&m_traffic, &m_memory}),
         m_outbound_proxy(settings.service,
                          m_view,
                          m_hop_client,
@@ -95,6 +105,11 @@
   }
 
  private:
+  static uint64_t BodyBytes(const MeshNodeSettings& settings) {
+    constexpr uint64_t kBytesPerMegabyte = 1'000'000;
+    return settings.memory_limit * kBytesPerMegabyte * kBodyPercent / kPercent;
+  }
+
   static MeshPoller::Options PollerOptions(const MeshNodeSettings& settings) {
     return {settings.node_name, settings.data_centre, settings.peer_address,
             static_cast<uint16_t>(settings.control_peer_port),
@@ -134,7 +149,7 @@
 
   std::shared_ptr<AsyncHttpServer> MakeServer(AsyncHandler handler) {
     return std::make_shared<AsyncHttpServer>(m_runtime.context(),
-                                             std::move(handler));
+                                             std::move(handler), &m_memory);
   }
 
   asio::awaitable<HttpResponse> HandleReadiness(HttpRequest request) {
@@ -148,7 +163,8 @@
   asio::awaitable<HttpResponse> HandleMetrics() {
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
-    response.body = m_metrics.Text();
+    m_metrics.Set("request_body_bytes", static_cast<double>(m_memory.used()));
+    response.body = m_metrics.Text() + m_traffic.Text();
     co_return response;
   }
 
@@ -219,6 +235,9 @@
   Metrics m_metrics;
   // Requests that had no response when the grace period was about to end.
   size_t m_cut_off = 0;
+  // Connections and links that the runtime still holds use these two.
+  MemoryBudget m_memory;
+  LinkTraffic m_traffic;
   MeshRuntime m_runtime;
   MeshView m_view;
   BackendProxy m_backend_proxy;
--- a/tests/unit-async-http-server.cpp
+++ b/tests/unit-async-http-server.cpp
@@ -43,9 +43,10 @@
 // Runs a server on threads of its own.
 class RunningServer {
  public:
-  explicit RunningServer(AsyncHandler handler)
-      : m_server(
-            std::make_shared<AsyncHttpServer>(m_context, std::move(handler))),
+  explicit RunningServer(AsyncHandler handler, MemoryBudget* memory = nullptr)
+      : m_server(std::make_shared<AsyncHttpServer>(m_context,
+                                                   std::move(handler),
+                                                   memory)),
         m_port(test::FreePort()) {
     BOOST_REQUIRE(!std::holds_alternative<Error>(
         Capture([&] { return m_server->Start(address()); })));
@@ -146,6 +147,62 @@
   }
 }
 
+// Failure: two uploads together took a node over its memory, and the requests
+// in progress on other connections were lost.
+BOOST_AUTO_TEST_CASE(uploads_without_memory_are_refused_before_they_are_read) {
+  constexpr size_t kLarge = 8'000'000;
+  MemoryBudget memory(kLarge * MemoryShare::kCopies);
+  MemoryShare other(&memory);
+  RunningServer server(AnswerWithLength, &memory);
+  CurlChannel channel;
+  const auto status_of = [&](size_t bytes) {
+    const HttpResult result = channel.Send(
+        server.address(),
+        HttpRequestBuilder("PUT", "/").Body(std::string(bytes, 'x')).Build(),
+        {kTimeout, true, {}});
+    const auto* response = std::get_if<HttpResponse>(&result);
+    return response == nullptr ? 0 : response->status;
+  };
+  BOOST_TEST(status_of(kLarge) == 200);
+  BOOST_TEST(status_of(kLarge) == 200);
+  BOOST_REQUIRE(other.GrowTo(kLarge / 2));
+  BOOST_TEST(status_of(kLarge) == 503);
+  BOOST_TEST(status_of(1'000) == 200);
+  BOOST_TEST(status_of(kLarge / 4) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_body_counts_until_its_response_is_written) {
+  constexpr size_t kLarge = 1'000'000;
+  MemoryBudget memory(kLarge * MemoryShare::kCopies);
+  RunningServer server(
+      [&](HttpRequest,
+          std::shared_ptr<CancellationToken>) -> asio::awaitable<HttpResponse> {
+        HttpResponse response;
+        response.body = std::to_string(memory.used());
+        co_return response;
+      },
+      &memory);
+  CurlChannel channel;
+  const HttpResult result = channel.Send(
+      server.address(),
+      HttpRequestBuilder("PUT", "/").Body(std::string(kLarge, 'x')).Build(),
+      {kTimeout, true, {}});
+  BOOST_TEST(std::get<HttpResponse>(result).body ==
+             std::to_string(kLarge * MemoryShare::kCopies));
+  BOOST_TEST(memory.used() == 0u);
+}
+
+// Failure: a caller that read its response 5.8 s late found the connection
+// ended. TCP_USER_TIMEOUT also counts the time in which the peer answers the
+// probes of a closed window.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_late_gets_its_whole_answer) {
+  RunningServer server(AnswerAtLength);
+  SlowCaller caller(server.port());
+  caller.SendRequest();
+  std::this_thread::sleep_for(std::chrono::milliseconds(8'000));
+  BOOST_TEST(caller.Read(kLongBytes) >= kLongBytes);
+}
+
 BOOST_AUTO_TEST_CASE(a_stop_leaves_what_is_on_its_way) {
   RunningServer server(AnswerAtLength);
   SlowCaller caller(server.port());
--- a/tests/unit-link.cpp
+++ b/tests/unit-link.cpp
@@ -80,7 +80,7 @@
   explicit LinkFixture(Duration delay)
       : m_peer(m_context, delay),
         m_relay(m_peer.port()),
-        m_links(m_context),
+        m_links(m_context, {&m_traffic, nullptr}),
         m_thread([this] { m_context.run(); }) {}
   ~LinkFixture() {
     m_context.stop();
@@ -92,7 +92,8 @@
                m_context,
                m_links.Exchange(m_relay.Address(), FrameType::kHopRequest,
                                 "request", kLimit,
-                                std::make_shared<CancellationToken>()),
+                                std::make_shared<CancellationToken>(),
+                                PeerPlace::kOtherDataCentre),
                asio::use_future)
         .get()
         .status;
@@ -100,8 +101,10 @@
 
   test::Relay& relay() { return m_relay; }
   const Peer& peer() const { return m_peer; }
+  const LinkTraffic& traffic() const { return m_traffic; }
 
  private:
+  LinkTraffic m_traffic;
   asio::io_context m_context;
   const asio::executor_work_guard<asio::io_context::executor_type> m_work{
       m_context.get_executor()};
@@ -119,6 +122,59 @@
   BOOST_TEST(fixture.relay().bytes() == before);
 }
 
+BOOST_AUTO_TEST_CASE(bytes_are_counted_by_type_and_place) {
+  LinkFixture fixture(Duration{0});
+  BOOST_TEST((fixture.Call() == ExchangeStatus::kReplied));
+  const std::string text = fixture.traffic().Text();
+  // 13 bytes of header and the payload.
+  BOOST_TEST(text.find("link_bytes_sent_total{type=\"hop_request\","
+                       "peer=\"other_data_centre\"} 20\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("link_bytes_received_total{type=\"hop_response\","
+                       "peer=\"other_data_centre\"} 17\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("poll_request") == std::string::npos);
+}
+
+// Failure: requests with large bodies were received whatever the process held
+// already.
+BOOST_AUTO_TEST_CASE(a_large_request_without_memory_is_refused_unread) {
+  constexpr size_t kLarge = 1'000'000;
+  asio::io_context context;
+  MemoryBudget memory(kLarge);
+  std::vector<Frame> received;
+  const std::string address = "127.0.0.1:" + std::to_string(test::FreePort());
+  FrameListener listener(
+      context,
+      [&](const std::shared_ptr<FrameLink>& link, Frame frame) {
+        received.push_back(std::move(frame));
+        link->Send({FrameType::kHopResponse, received.back().exchange, ""});
+      },
+      [](const std::shared_ptr<FrameLink>&) {}, {nullptr, &memory});
+  BOOST_REQUIRE(listener.Start(address));
+  LinkClient links(context);
+  const auto call = [&](size_t bytes) {
+    auto done = asio::co_spawn(
+        context,
+        links.Exchange(address, FrameType::kHopRequest, std::string(bytes, 'x'),
+                       kLimit, std::make_shared<CancellationToken>()),
+        asio::use_future);
+    while (done.wait_for(std::chrono::seconds(0)) !=
+           std::future_status::ready) {
+      context.run_one();
+    }
+    BOOST_TEST((done.get().status == ExchangeStatus::kReplied));
+    return received.back().skipped ? 0 : received.back().payload.size();
+  };
+  BOOST_TEST(call(kLarge / 4) == kLarge / 4);
+  BOOST_TEST(call(kLarge) == 0u);
+  BOOST_TEST(call(kLarge / 4) == 0u);
+  BOOST_TEST(call(100) == 100u);
+  received.clear();
+  BOOST_TEST(memory.used() == 0u);
+  BOOST_TEST(call(kLarge / 4) == kLarge / 4);
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_link_is_used_again) {
   LinkFixture fixture(Duration{0});
   BOOST_TEST((fixture.Call() == ExchangeStatus::kReplied));
