--- a/tests/unit-even-load.cpp
+++ b/tests/unit-even-load.cpp
@@ -246,6 +246,39 @@
   }
 }
 
+// Guards against balances that are sent in every poll, and against a node that
+// keeps the balance of an earlier leader for good.
+BOOST_AUTO_TEST_CASE(a_balance_is_sent_until_the_node_holds_it) {
+  BalanceBoard board;
+  board.Reset(TimePoint{0}, 1);
+  const auto poll = [&](int64_t at, double busy, const std::string& node,
+                        uint64_t held) {
+    PollRequest request;
+    request.sequence = static_cast<uint64_t>(at);
+    request.node = node;
+    request.member = {node, "", "dc0", "shop", BackendState::kReady, 16};
+    request.load = BackendLoad{16, busy, 0, 10, 0, 0};
+    request.services = {{"shop", 0}};
+    request.balances = {{"shop", held}};
+    PollResponse response;
+    board.OnPoll(TimePoint{at}, {}, request, response);
+    return response.balances;
+  };
+  for (int64_t at = 0; at < 5'000; at += 500) {
+    poll(at, 12, "slow", 0);
+    poll(at, 4, "fast", 0);
+  }
+  const auto sent = poll(5'000, 4, "fast", 0);
+  BOOST_REQUIRE(sent.size() == 1u);
+  BOOST_TEST(sent.front().service == "shop");
+  BOOST_TEST(sent.front().weights.size() == 2u);
+  BOOST_TEST(poll(5'010, 4, "fast", sent.front().revision).empty());
+  board.Reset(TimePoint{6'000}, 2);
+  poll(6'000, 4, "fast", sent.front().revision);
+  BOOST_TEST(poll(7'000, 4, "fast", sent.front().revision).empty());
+  BOOST_TEST(poll(9'000, 4, "fast", sent.front().revision).size() == 1u);
+}
+
 // Guards against a misnamed server that disturbs the balance of a service, or
 // whose balance is sent to nodes that do not know its service.
 BOOST_AUTO_TEST_CASE(an_unknown_server_disturbs_no_service) {
