--- a/include/rosemarywinch/decisions/control/admission_planner.h
+++ b/include/rosemarywinch/decisions/control/admission_planner.h
@@ -11,6 +11,7 @@
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/decisions/control/admission_entry.h"
 #include "rosemarywinch/decisions/control/capacity_shares.h"
+#include "rosemarywinch/decisions/control/service_capacity.h"
 #include "rosemarywinch/decisions/traffic/entry_class.h"
 #include "rosemarywinch/schema/control.h"
 
@@ -62,25 +63,6 @@
     std::vector<EntryDemand> demand;
     std::vector<EntryUsage> usage;
   };
-  struct ServiceState {
-    /// Sums over the members; see BackendLoad.
-    BackendLoad load;
-    /// Slots used by calls whose root request is unknown.
-    double unknown_usage = 0;
-    double trim = 1;
-    /// Mean wait one step before, in seconds.
-    double last_wait = 0;
-    /// Steps in sequence in which calls waited or were refused.
-    uint32_t strained_steps = 0;
-    TimePoint seen;
-
-    /// Mean wait of a call for a slot, in seconds.
-    double MeanWait() const;
-    /// Waiting calls are being worked off.
-    bool IsDraining() const;
-    double RefusedFraction() const;
-    double Capacity() const;
-  };
   /// Smoothed slots and requests/s, and their ratio.
   struct Cost {
     double usage = 0;
@@ -105,7 +87,7 @@
   Sums SumReports(TimePoint now);
   void UpdateDemand(const Sums& sums);
   void UpdateCosts(const Sums& sums);
-  void UpdateCost(const ServiceState& service,
+  void UpdateCost(const ServiceCapacity& service,
                   double usage,
                   double admitted,
                   Cost& cost);
@@ -121,7 +103,7 @@
   TimePoint m_last_step;
   AdmissionPlan m_plan;
   std::map<std::string, Report> m_reports;
-  std::map<std::string, ServiceState> m_services;
+  std::map<std::string, ServiceCapacity> m_services;
   /// Costs by entry service and service.
   std::map<std::string, std::map<std::string, Cost>> m_costs;
   std::map<EntryClass, ClassState> m_classes;
--- a/include/rosemarywinch/decisions/traffic/entry_admission.h
+++ b/include/rosemarywinch/decisions/traffic/entry_admission.h
@@ -20,7 +20,7 @@
   /// Admitted fraction of the requests of its class that the plan counts
   /// together.
   double class_fraction = 1;
-  /// `fraction` is that of its account, which sends more than its fair share.
+  /// `fraction` is that of its account, which sends more than others.
   bool account_share = false;
   /// Service whose capacity limits the class.
   std::string bottleneck;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -15,14 +15,12 @@
 #include "rosemarywinch/decisions/control/quota_cache.h"
 #include "rosemarywinch/decisions/mesh/entry_check.h"
 #include "rosemarywinch/decisions/traffic/dependency_pressure.h"
-#include "rosemarywinch/decisions/traffic/entry_admission.h"
-#include "rosemarywinch/decisions/traffic/entry_demand_meter.h"
-#include "rosemarywinch/decisions/traffic/load_shedder.h"
 #include "rosemarywinch/decisions/traffic/parent_requests.h"
 #include "rosemarywinch/decisions/traffic/retry_budget.h"
 #include "rosemarywinch/decisions/traffic/router.h"
 #include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/interfaces/random.h"
+#include "rosemarywinch/programs/mesh/root_admitter.h"
 #include "rosemarywinch/schema/control.h"
 #include "rosemarywinch/schema/members.h"
 
@@ -83,26 +81,8 @@
   /// up.
   bool TryRetry(const std::string& service);
 
-  /// Decision on a root request.
-  struct RootAdmission {
-    bool admitted = true;
-    /// Fraction of the requests among which it was counted that is admitted.
-    double fraction = 1;
-    /// Why it was refused, for logs and error messages.
-    std::string explanation;
-  };
-  /// Decides whether to admit a root request of `account`: one that comes with
-  /// a key, and that no other request of the mesh caused. The admission plan
-  /// decides while it is in force, otherwise the pressure on the service.
-  RootAdmission AdmitRootRequest(const EntryClass& entry,
-                                 const std::string& account);
-  /// Records that an admitted root request exceeded the rate of its account.
-  void CountRateRefusal(const EntryClass& entry);
-  /// Returns the number of classes that the plan in force limits; nullopt
-  /// without a plan in force.
-  std::optional<size_t> LimitedClasses() const;
-  /// Records the pressure reported with the response to a root request.
-  void RecordPressure(const std::string& service, double pressure);
+  /// Decides on the admission of root requests.
+  RootAdmitter& root_admitter() { return m_root_admitter; }
 
   /// Counts a request that is about to be sent to the local backend server and
   /// must end by `deadline`.
@@ -133,7 +113,6 @@
   struct ServiceShard {
     std::map<std::string, Router> routers;
     std::map<std::string, RetryBudget> budgets;
-    std::map<std::string, LoadShedder> shedders;
   };
   struct AccountShard {
     std::map<std::string, QuotaCache> quotas;
@@ -155,12 +134,6 @@
   Result<Done> CheckSender(const PollResponse& response) const;
   Result<Done> ApplyConfiguration(TimePoint sent, const PollResponse& response);
   void ApplyMembers(const PollResponse& response);
-  void ApplyAdmission(const PollResponse& response);
-  std::optional<PlannedVerdict> AskPlan(const EntryClass& entry,
-                                        const std::string& account,
-                                        double random);
-  RootAdmission AskShedder(const EntryClass& entry,
-                           const std::optional<PlannedVerdict>& planned);
   void ApplyQuotas(TimePoint sent, const PollResponse& response);
   bool TryTake(const std::string& account, bool first);
   void UpdateQuotaWaiters(const std::string& account,
@@ -176,14 +149,10 @@
   ControlState m_control_state;
   Sharded<ServiceShard> m_services;
   Sharded<AccountShard> m_accounts;
-  std::mutex m_priorities_mutex;
-  PriorityDistribution m_priorities;
+  RootAdmitter m_root_admitter;
   std::mutex m_dependencies_mutex;
   DependencyPressure m_dependencies;
   ParentRequests m_parent_requests;
-  mutable std::mutex m_admission_mutex;
-  PlannedAdmission m_planned_admission;
-  EntryDemandMeter m_demand;
   std::mutex m_token_waiters_mutex;
   std::vector<std::shared_ptr<OneShot<bool>>> m_token_waiters;
 };
--- a/src/decisions/control/admission_planner.cc
+++ b/src/decisions/control/admission_planner.cc
@@ -19,35 +19,8 @@
 constexpr double kMaxNumber = 1e6;
 constexpr size_t kMaxListLength = 512;
 
-// Part of the usable slots that is planned for. The rest absorbs the randomness
-// of arrivals, without which calls would wait.
-constexpr double kTargetUtilization = 0.9;
 // Part of the announced slots that nodes use; for reports without a load.
 constexpr double kUsableSlots = 0.94;
-// Time in which waiting calls are to be worked off.
-constexpr double kDrainSeconds = 2;
-// Part of the usable slots that is planned for at least, whatever waits.
-constexpr double kMinCapacity = 0.1;
-
-// Above this wait, or fraction of refused calls, the trim factor falls.
-constexpr double kMaxWaitSeconds = 0.040;
-constexpr double kMaxRefused = 0.05;
-// Above this it falls by the greater step.
-constexpr double kLongWaitSeconds = 0.2;
-constexpr double kManyRefused = 0.2;
-constexpr double kTrimStep = 0.95;
-constexpr double kGreatTrimStep = 0.9;
-// Steps until a change of the plan shows in the reports: a poll, the time of
-// the requests, and another poll.
-constexpr uint32_t kStepsToEffect = 3;
-// The factor recovers from the floor within 9 s.
-constexpr double kTrimRecovery = 0.04;
-// A wait that falls by this factor in a step needs no further measure.
-constexpr double kDrainFactor = 0.9;
-constexpr double kMinTrim = 0.3;
-// Calls that wait while fewer slots are busy are a matter of balancing.
-constexpr double kMinBusy = 0.5;
-
 // Gains of moving averages for each step: the time constant is 4 s for costs,
 // 2 s for accounts, and 2 s for the demand of a class, or half a second if it
 // has changed by more than randomness explains.
@@ -60,10 +33,6 @@
 constexpr double kMinRate = 0.02;
 // Admitted requests/s below which a cost is not measured anew.
 constexpr double kMinMeasuredRate = 0.5;
-// Wait and fraction of refused calls above which the slots in use say little
-// about what the admitted requests need.
-constexpr double kStrainedWaitSeconds = 0.020;
-constexpr double kStrainedRefused = 0.02;
 // Costs below this part of those of all services together may come from calls
 // that were taken for those of another request, and do not limit a class.
 constexpr double kMinCostPart = 0.02;
@@ -106,26 +75,6 @@
 
 }  // namespace
 
-double AdmissionPlanner::ServiceState::MeanWait() const {
-  return load.waiting / std::max(load.completed_rate, 1.0);
-}
-
-bool AdmissionPlanner::ServiceState::IsDraining() const {
-  return MeanWait() < kDrainFactor * last_wait;
-}
-
-double AdmissionPlanner::ServiceState::RefusedFraction() const {
-  return load.refused_rate /
-         std::max(load.completed_rate + load.refused_rate, 1.0);
-}
-
-double AdmissionPlanner::ServiceState::Capacity() const {
-  const double call_seconds = load.busy / std::max(load.completed_rate, 1.0);
-  const double drain = load.waiting * call_seconds / kDrainSeconds;
-  const double planned = load.usable_slots * kTargetUtilization * trim - drain;
-  return std::max(planned, load.usable_slots * kMinCapacity) - unknown_usage;
-}
-
 void AdmissionPlanner::Reset(TimePoint now, uint64_t term) {
   m_since = now;
   m_last_step = now;
@@ -204,7 +153,7 @@
   }
   for (const auto& [node, report] : m_reports) {
     if (!report.service.empty()) {
-      ServiceState& service = m_services[report.service];
+      ServiceCapacity& service = m_services[report.service];
       service.seen = now;
       service.load.usable_slots += report.load.usable_slots;
       service.load.busy += report.load.busy;
@@ -289,12 +238,11 @@
 // a low ratio shows the capacity and not the cost. A high one still shows that
 // requests have become more expensive, except while calls are worked off that
 // were admitted earlier.
-void AdmissionPlanner::UpdateCost(const ServiceState& service,
+void AdmissionPlanner::UpdateCost(const ServiceCapacity& service,
                                   double usage,
                                   double admitted,
                                   Cost& cost) {
-  const bool strained = service.MeanWait() > kStrainedWaitSeconds ||
-                        service.RefusedFraction() > kStrainedRefused;
+  const bool strained = service.IsStrained();
   if (admitted < kMinMeasuredRate || service.IsDraining() ||
       (strained && usage < cost.slots * admitted)) {
     return;
@@ -308,25 +256,7 @@
 
 void AdmissionPlanner::UpdateTrims(TimePoint now) {
   for (auto& [name, service] : m_services) {
-    const double wait = service.MeanWait();
-    const double refused = service.RefusedFraction();
-    const bool busy = service.load.busy > kMinBusy * service.load.usable_slots;
-    const bool strained =
-        refused > kMaxRefused || (busy && wait > kMaxWaitSeconds);
-    service.strained_steps = strained ? service.strained_steps + 1 : 0;
-    if (strained) {
-      if (service.strained_steps < kStepsToEffect || service.IsDraining()) {
-        continue;
-      }
-      const bool far = wait > kLongWaitSeconds || refused > kManyRefused;
-      service.trim =
-          std::max(kMinTrim, service.trim * (far ? kGreatTrimStep : kTrimStep));
-    } else {
-      service.trim = std::min(1.0, service.trim + kTrimRecovery);
-    }
-  }
-  for (auto& [name, service] : m_services) {
-    service.last_wait = service.MeanWait();
+    service.UpdateTrim();
   }
   std::erase_if(m_services, [&](const auto& entry) {
     return now >= entry.second.seen + kServiceTtl;
--- a/src/decisions/traffic/entry_admission.cc
+++ b/src/decisions/traffic/entry_admission.cc
@@ -93,7 +93,9 @@
   sequence.credit += sequence.fraction;
   const bool admitted = sequence.credit >= 1;
   sequence.credit -= admitted ? 1 : 0;
-  return {admitted, sequence.fraction, planned.others.fraction, own_share,
+  const bool above_share =
+      own_share && sequence.fraction < planned.others.fraction;
+  return {admitted, sequence.fraction, planned.others.fraction, above_share,
           planned.bottleneck};
 }
 
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -151,7 +151,8 @@
   asio::awaitable<HttpResponse> HandleMetrics() {
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
-    const std::optional<size_t> limited = m_view.LimitedClasses();
+    const std::optional<size_t> limited =
+        m_view.root_admitter().LimitedClasses();
     m_metrics.Set("admission_plan_in_force", limited ? 1 : 0);
     m_metrics.Set("admission_limited_classes",
                   static_cast<double>(limited.value_or(0)));
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -1,7 +1,5 @@
 #include "rosemarywinch/programs/mesh/mesh_view.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -21,12 +19,14 @@
 // Retries as a ratio of requests. A retry repeats its nested calls too, so over
 // a chain of four services this adds about a sixth to the calls.
 constexpr double kRetryRatio = 0.04;
-constexpr uint64_t kRandomResolution = 1u << 20;
 
 }  // namespace
 
 MeshView::MeshView(std::string data_centre, Clock& clock, Random& random)
-    : m_data_centre(std::move(data_centre)), m_clock(clock), m_random(random) {}
+    : m_data_centre(std::move(data_centre)),
+      m_clock(clock),
+      m_random(random),
+      m_root_admitter(clock, random) {}
 
 MeshView::ConfigState MeshView::CurrentConfigState() const {
   std::scoped_lock lock(m_mutex);
@@ -68,11 +68,7 @@
     }
   }
   const TimePoint now = m_clock.Now();
-  {
-    std::scoped_lock lock(m_admission_mutex);
-    request.demand = m_demand.Take(now);
-    request.admission_revision = m_planned_admission.revision();
-  }
+  m_root_admitter.FillPoll(request);
   m_accounts.ForEach([&](AccountShard& shard) {
     std::erase_if(shard.quotas,
                   [&](const auto& entry) { return entry.second.IsIdle(now); });
@@ -123,7 +119,7 @@
   BOOST_LEAF_CHECK(CheckSender(response));
   BOOST_LEAF_CHECK(ApplyConfiguration(sent, response));
   ApplyMembers(response);
-  ApplyAdmission(response);
+  m_root_admitter.ApplyPoll(response);
   ApplyQuotas(sent, response);
   WakeTokenWaiters();
   return Done{};
@@ -191,22 +187,6 @@
   }
 }
 
-// Until a new leader knows the fleet, the plan of the last one goes on until it
-// expires.
-void MeshView::ApplyAdmission(const PollResponse& response) {
-  if (!response.admission_known) {
-    return;
-  }
-  const TimePoint now = m_clock.Now();
-  std::scoped_lock lock(m_admission_mutex);
-  if (response.admission &&
-      !m_planned_admission.Apply(now, *response.admission)) {
-    LogEvent(LogLevel::kError, "admission_plan_invalid",
-             {{"revision", std::to_string(response.admission->revision)}});
-  }
-  m_planned_admission.Confirm(now, response.admission_revision);
-}
-
 void MeshView::ApplyQuotas(TimePoint sent, const PollResponse& response) {
   const TimePoint now = m_clock.Now();
   for (const QuotaGrant& grant : response.quotas) {
@@ -323,90 +303,6 @@
   });
 }
 
-MeshView::RootAdmission MeshView::AdmitRootRequest(const EntryClass& entry,
-                                                   const std::string& account) {
-  const auto planned = AskPlan(entry, account, RandomFraction());
-  // The load shedder sees only what the plan admits.
-  RootAdmission admission;
-  if (!planned || planned->admitted) {
-    admission = AskShedder(entry, planned);
-  } else {
-    admission.admitted = false;
-    admission.fraction = planned->fraction;
-    admission.explanation = fmt::format(
-        "{} is short: {} priority {}, planned fraction {:.2f} of {}",
-        planned->bottleneck, entry.service, entry.priority, planned->fraction,
-        planned->account_share ? "account " + account + ", above its fair share"
-                               : "all");
-  }
-  const uint64_t random = m_random.Below(kRandomResolution);
-  std::scoped_lock lock(m_admission_mutex);
-  m_demand.OnRequest(entry, account, admission.admitted, random);
-  return admission;
-}
-
-std::optional<PlannedVerdict> MeshView::AskPlan(const EntryClass& entry,
-                                                const std::string& account,
-                                                double random) {
-  const TimePoint now = m_clock.Now();
-  std::scoped_lock lock(m_admission_mutex);
-  if (!m_planned_admission.IsInForce(now)) {
-    return std::nullopt;
-  }
-  return m_planned_admission.Admit(entry, account, random);
-}
-
-MeshView::RootAdmission MeshView::AskShedder(
-    const EntryClass& entry,
-    const std::optional<PlannedVerdict>& planned) {
-  const TimePoint now = m_clock.Now();
-  const double sample = RandomFraction();
-  double lower_priority = 0;
-  {
-    std::scoped_lock lock(m_priorities_mutex);
-    m_priorities.OnRequest(now, entry.priority);
-    lower_priority = m_priorities.LowerPriorityFraction(entry.priority);
-  }
-  return m_services.With(entry.service, [&](ServiceShard& shard) {
-    LoadShedder& shedder = shard.shedders[entry.service];
-    if (planned) {
-      shedder.FollowPlan(entry.priority, planned->class_fraction);
-    } else {
-      shedder.EndPlan();
-    }
-    RootAdmission admission;
-    admission.admitted =
-        shedder.Admit(now, entry.priority, lower_priority, sample);
-    if (!admission.admitted) {
-      admission.fraction = shedder.admitted(entry.priority);
-      admission.explanation = fmt::format(
-          "{}: priority {}, admitted fraction {:.2f} at pressure {:.2f}",
-          entry.service, entry.priority, admission.fraction,
-          shedder.last_pressure());
-    }
-    return admission;
-  });
-}
-
-void MeshView::CountRateRefusal(const EntryClass& entry) {
-  std::scoped_lock lock(m_admission_mutex);
-  m_demand.OnRefusedLater(entry);
-}
-
-std::optional<size_t> MeshView::LimitedClasses() const {
-  std::scoped_lock lock(m_admission_mutex);
-  return m_planned_admission.IsInForce(m_clock.Now())
-             ? std::optional(m_planned_admission.limited_classes())
-             : std::nullopt;
-}
-
-void MeshView::RecordPressure(const std::string& service, double pressure) {
-  const TimePoint now = m_clock.Now();
-  m_services.With(service, [&](ServiceShard& shard) {
-    shard.shedders[service].OnPressure(now, pressure);
-  });
-}
-
 void MeshView::CountRun(const EntryClass& entry, TimePoint deadline) {
   const TimePoint now = m_clock.Now();
   std::scoped_lock lock(m_dependencies_mutex);
@@ -440,8 +336,7 @@
 }
 
 double MeshView::RandomFraction() {
-  return static_cast<double>(m_random.Below(kRandomResolution)) /
-         kRandomResolution;
+  return rosemarywinch::RandomFraction(m_random);
 }
 
 }  // namespace rosemarywinch
--- a/src/programs/mesh/outbound_proxy.cc
+++ b/src/programs/mesh/outbound_proxy.cc
@@ -168,8 +168,8 @@
   const EntryClass entry{service, SheddingPriority(admitted)};
   state.hop.entry_service = entry.service;
   state.hop.entry_priority = entry.priority;
-  const MeshView::RootAdmission admission =
-      m_view.AdmitRootRequest(entry, state.hop.account);
+  const RootAdmission admission =
+      m_view.root_admitter().Admit(entry, state.hop.account);
   if (!admission.admitted) {
     co_return Refuse(
         state.hop.request_id,
@@ -181,7 +181,7 @@
   }
   const auto wait = co_await m_view.TakeToken(state.hop.account);
   if (wait) {
-    m_view.CountRateRefusal(entry);
+    m_view.root_admitter().OnRateRefused(entry);
     co_return Refuse(state.hop.request_id,
                      Error{ErrorId::kRateExceeded, state.hop.account}, *wait);
   }
@@ -261,8 +261,8 @@
   if (state.hop.nested) {
     m_view.RecordDependencyPressures(state.hop.service, pressure, below);
   } else {
-    m_view.RecordPressure(state.hop.service,
-                          std::max(pressure, MaxPressure(below)));
+    m_view.root_admitter().RecordPressure(
+        state.hop.service, std::max(pressure, MaxPressure(below)));
   }
 }
 
