--- a/src/decisions/control/admission_entry.cc
+++ b/src/decisions/control/admission_entry.cc
@@ -125,6 +125,7 @@
     return entry;
   }
   std::vector<AccountDemand> demands;
+  demands.reserve(accounts.size());
   for (const EntryAccount& account : accounts) {
     demands.push_back({account.name, account.within_limit});
   }
--- a/src/decisions/control/capacity_shares.cc
+++ b/src/decisions/control/capacity_shares.cc
@@ -154,6 +154,7 @@
     (total < fraction * sum ? low : high) = fair_rate;
   }
   std::vector<double> fractions;
+  fractions.reserve(accounts.size());
   for (const AccountDemand& account : accounts) {
     fractions.push_back(account.offered_rate > 0
                             ? admitted(account, high) / account.offered_rate
