--- a/src/decisions/traffic/entry_demand_meter.cc
+++ b/src/decisions/traffic/entry_demand_meter.cc
@@ -43,7 +43,11 @@
   }
   const double length = (now - m_since).Seconds();
   std::vector<EntryDemand> demands;
+  // The first elements of a sample are a sample too.
+  const size_t kept =
+      std::max<size_t>(1, kMaxReported / std::max<size_t>(1, m_demands.size()));
   for (auto& [entry, demand] : m_demands) {
+    demand.accounts.resize(std::min(demand.accounts.size(), kept));
     EntryDemand report;
     report.service = entry.service;
     report.priority = entry.priority;
--- a/tests/unit-admission-plan.cpp
+++ b/tests/unit-admission-plan.cpp
@@ -315,6 +315,20 @@
   BOOST_TEST(heavy == 1'000, boost::test_tools::tolerance(0.1));
 }
 
+// Failure: a poll grew with the number of classes times the accounts of each.
+BOOST_AUTO_TEST_CASE(a_report_of_many_classes_names_one_account_of_each) {
+  const TimePoint now{10'000};
+  EntryDemandMeter meter;
+  meter.Take(now);
+  for (uint32_t i = 0; i < 40; ++i) {
+    meter.OnRequest({"shop", i % 10}, std::to_string(i), true, i);
+  }
+  for (const EntryDemand& demand : meter.Take(now + kPollInterval)) {
+    BOOST_REQUIRE(demand.accounts.size() == 1u);
+    BOOST_TEST(demand.accounts[0].offered_rate == demand.offered_rate);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(usage_is_the_mean_of_slots_over_time) {
   EntryUsageMeter meter;
   const TimePoint now{10'000};
