--- a/tests/unit-admission-plan.cpp
+++ b/tests/unit-admission-plan.cpp
@@ -88,6 +88,26 @@
 
 }  // namespace
 
+// Guards against the idle slots of an evacuated data centre being planned for,
+// so that twice as much is admitted as the others can serve.
+BOOST_AUTO_TEST_CASE(slots_of_evacuated_nodes_are_no_capacity) {
+  OneNode node;
+  PollRequest evacuated;
+  evacuated.node = "n2";
+  evacuated.member.service = "shop";
+  evacuated.member.state = BackendState::kReady;
+  evacuated.load = BackendLoad{10, 0, 0, 0, 0, 0};
+  for (int poll = 0; poll < 12; ++poll) {
+    const auto reported = Capture([&] {
+      return node.planner.OnReport(node.now, evacuated, /*in_use=*/false);
+    });
+    BOOST_REQUIRE(std::holds_alternative<Done>(reported));
+    node.Poll({Demand(180, 90)}, 9);
+  }
+  BOOST_REQUIRE(node.plan().entries.size() == 1u);
+  BOOST_TEST(node.plan().entries[0].fraction < 0.6);
+}
+
 // Failure: a class was refused while a less urgent one got more of the same
 // capacity than the least share that each class is promised.
 BOOST_AUTO_TEST_CASE(no_class_is_refused_for_a_less_urgent_one) {
@@ -315,6 +335,20 @@
   BOOST_TEST(heavy == 1'000, boost::test_tools::tolerance(0.1));
 }
 
+// Failure: a poll grew with the number of classes times the accounts of each.
+BOOST_AUTO_TEST_CASE(a_report_of_many_classes_names_one_account_of_each) {
+  const TimePoint now{10'000};
+  EntryDemandMeter meter;
+  meter.Take(now);
+  for (uint32_t i = 0; i < 40; ++i) {
+    meter.OnRequest({"shop", i % 10}, std::to_string(i), true, i);
+  }
+  for (const EntryDemand& demand : meter.Take(now + kPollInterval)) {
+    BOOST_REQUIRE(demand.accounts.size() == 1u);
+    BOOST_TEST(demand.accounts[0].offered_rate == demand.offered_rate);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(usage_is_the_mean_of_slots_over_time) {
   EntryUsageMeter meter;
   const TimePoint now{10'000};
