Follow the changed callback in the test of the cold limit

Cause: two parts changed the callback of a started request and its test apart. Change: the test passes the class and the deadline. Result: builds.

--- a/tests/unit-cold-proxy.cpp
+++ b/tests/unit-cold-proxy.cpp
@@ -19,7 +19,7 @@
 struct Fixture {
   Fixture() {
     proxy.SetChangeCallback([] {});
-    proxy.SetRunCallback([] {});
+    proxy.SetRunCallback([](const EntryClass&, TimePoint) {});
     proxy.SetPressureSource([] { return std::vector<ServicePressure>(); });
     proxy.SetServiceSource([this] { return settings; });
     proxy.OnDeparturesStored({});
