Bound the accounts that a plan names

A plan of many short classes would name 8 accounts of each. The benchmark now has three priorities in each service.

--- a/bench/bench_decisions.cc
+++ b/bench/bench_decisions.cc
@@ -141,8 +141,11 @@
   report.member.state = BackendState::kReady;
   report.load = BackendLoad{10, 9, 0, 90, 0, 0};
   for (int i = 0; i < kClasses; ++i) {
-    EntryDemand demand{
-        name(node * kClasses + i), static_cast<uint32_t>(i % 3), 40, 10, {}};
+    EntryDemand demand{name(node * kClasses + i),
+                       static_cast<uint32_t>((node + i) % 3),
+                       40,
+                       10,
+                       {}};
     for (int sample = 0; sample < 4; ++sample) {
       const int account = (node * 7 + i * 4 + sample) % kAccounts;
       demand.accounts.push_back({"account" + std::to_string(account), 10});
--- a/include/rosemarywinch/decisions/control/admission_entry.h
+++ b/include/rosemarywinch/decisions/control/admission_entry.h
@@ -27,9 +27,11 @@
 
 /// Makes the plan's entry for a class of which `fraction` is admitted: max-min
 /// fair shares of its accounts. Only the accounts whose fraction differs most
-/// from that of the others are named, to keep the plan small.
+/// from that of the others are named, fewer if the plan has many `entries`, to
+/// keep it small.
 EntryAdmission MakeEntry(double fraction,
-                         const std::vector<EntryAccount>& accounts);
+                         const std::vector<EntryAccount>& accounts,
+                         size_t entries);
 
 /// Returns the entry of a class, or null.
 const EntryAdmission* FindEntry(const AdmissionPlan& plan,
--- a/include/rosemarywinch/decisions/traffic/entry_demand_meter.h
+++ b/include/rosemarywinch/decisions/traffic/entry_demand_meter.h
@@ -24,8 +24,8 @@
 class EntryDemandMeter {
  public:
   static constexpr size_t kSamples = 4;
-  /// Maximum number of accounts in a report; one of each class if there are more
-  /// classes. Keeps a poll small.
+  /// Maximum number of accounts in a report; one of each class if there are
+  /// more classes. Keeps a poll small.
   static constexpr size_t kMaxReported = 8;
 
   /// Counts a request and whether the node admitted it. `random` is a uniformly
--- a/src/decisions/control/admission_entry.cc
+++ b/src/decisions/control/admission_entry.cc
@@ -14,8 +14,11 @@
 // Fractions above this count as 1, so that noise refuses nothing.
 constexpr double kWhole = 0.95;
 constexpr double kWholeAfterLimit = 0.98;
-// Accounts named in an entry: with 10 entries a plan stays below 2 KB.
-constexpr size_t kMaxNamedAccounts = 8;
+// Accounts named in an entry, and in all entries together unless there are more
+// entries, to keep a plan small: 4 entries with 4 accounts each
+// take 872 bytes.
+constexpr size_t kMaxNamedInEntry = 8;
+constexpr size_t kMaxNamedAccounts = 64;
 // Accounts whose fraction is nearer to that of the others are not named.
 constexpr double kMinDifference = 0.1;
 // Fractions are multiples of this, a power of 2, for a short encoding.
@@ -118,7 +121,8 @@
 }
 
 EntryAdmission MakeEntry(double fraction,
-                         const std::vector<EntryAccount>& accounts) {
+                         const std::vector<EntryAccount>& accounts,
+                         size_t entries) {
   EntryAdmission entry;
   entry.fraction = Round(fraction);
   if (accounts.empty()) {
@@ -139,7 +143,9 @@
               : fractions[i] * accounts[i].within_limit / accounts[i].offered;
   }
   Naming naming(accounts, fractions);
-  while (entry.accounts.size() < kMaxNamedAccounts) {
+  const size_t max_named = std::clamp<size_t>(
+      kMaxNamedAccounts / std::max<size_t>(1, entries), 1, kMaxNamedInEntry);
+  while (entry.accounts.size() < max_named) {
     auto named = naming.NameNext();
     if (!named) {
       break;
--- a/src/decisions/control/admission_planner.cc
+++ b/src/decisions/control/admission_planner.cc
@@ -283,6 +283,9 @@
     demands.push_back(std::move(demand));
   }
   const std::vector<ClassShare> shares = DivideCapacity(demands, capacities);
+  const auto limited_classes = static_cast<size_t>(std::count_if(
+      shares.begin(), shares.end(),
+      [](const ClassShare& share) { return share.bottleneck.has_value(); }));
   AdmissionPlan plan;
   plan.revision = m_plan.revision;
   size_t index = 0;
@@ -290,7 +293,8 @@
     const ClassShare& share = shares[index];
     if (share.bottleneck &&
         IsLimited(share.fraction, FindEntry(m_plan, entry) != nullptr)) {
-      EntryAdmission limited = MakeEntry(share.fraction, accounts[index]);
+      EntryAdmission limited =
+          MakeEntry(share.fraction, accounts[index], limited_classes);
       limited.service = entry.service;
       limited.priority = entry.priority;
       limited.bottleneck = names[*share.bottleneck];
