Let one body of the largest size fit in 260 MB

The budget of half of the memory refused every body above 43 MB at 260 MB, although max_body_bytes allows 64 MB. The body for the backend server is now moved out of the hop request instead of copied, so that a node holds at most three copies, and bodies may use three quarters of the memory. Bodies count from 16 KB on, because 400 waiting requests of 64 KB would use the rest.

--- a/include/rosemarywinch/decisions/traffic/memory_budget.h
+++ b/include/rosemarywinch/decisions/traffic/memory_budget.h
@@ -35,7 +35,7 @@
  public:
   /// Bodies below this size are not counted: they are bounded by the number of
   /// requests, and most requests have none.
-  static constexpr uint64_t kUncountedBytes = 65'536;
+  static constexpr uint64_t kUncountedBytes = 16'384;
   /// Copies of a body that a node holds at the same time: the request that is
   /// kept for a retry or was received, the one that is sent, and its encoded
   /// form.
--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -105,7 +105,7 @@
       const HopRequest& request,
       TimePoint deadline,
       const CallSignals& signals);
-  asio::awaitable<HopResponse> SendToBackend(const HopRequest& request,
+  asio::awaitable<HopResponse> SendToBackend(HopRequest& request,
                                              TimePoint deadline,
                                              const CallSignals& signals);
   HopResponse ReadResult(const HopRequest& request, BackendResult result);
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -256,7 +256,7 @@
 }
 
 asio::awaitable<HopResponse> BackendProxy::SendToBackend(
-    const HopRequest& request,
+    HopRequest& request,
     TimePoint deadline,
     const CallSignals& signals) {
   const auto backend = FindServing(request.service);
@@ -268,8 +268,13 @@
   if (left < kMinWorkTime) {
     co_return NotRun(ErrorId::kDeadlinePassed);
   }
+  // The body is moved, because a large one would be held twice.
+  std::string body = std::move(request.body);
+  HttpRequest message =
+      m_protocol.WriteBackendRequest(request, backend->id, left);
+  message.body = std::move(body);
   BackendResult result = co_await m_channel.Send(
-      m_protocol.WriteBackendRequest(request, backend->id, left),
+      std::move(message),
       [&](const HttpResponse& response, bool reused) {
         return IsAnswerToRequest(
             m_protocol.ReadBackendAnswer(request, response), reused);
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -35,8 +35,9 @@
 constexpr int64_t kMsPerSecond = 1000;
 constexpr Duration kStopCheckInterval{50};
 // Part of the memory of the process that large request bodies may use. The rest
-// is for the program, small requests and responses.
-constexpr uint64_t kBodyPercent = 50;
+// is for the program (15 MB) and small requests. At 260 MB, one body of the
+// largest size (64 MB, held three times) fits.
+constexpr uint64_t kBodyPercent = 75;
 constexpr uint64_t kPercent = 100;
 
 /// A node of the mesh; owns its components.
@@ -106,7 +107,7 @@
 
  private:
   static uint64_t BodyBytes(const MeshNodeSettings& settings) {
-    constexpr uint64_t kBytesPerMegabyte = 1'000'000;
+    constexpr uint64_t kBytesPerMegabyte = 1 << 20;
     return settings.memory_limit * kBytesPerMegabyte * kBodyPercent / kPercent;
   }
 
--- a/tests/process-platform.cpp
+++ b/tests/process-platform.cpp
@@ -108,6 +108,22 @@
   BOOST_TEST(fixture.mesh.Put(ConfigurationText(3, 0, "k1")) == 200);
 }
 
+// Failure: a body of the largest size was held in so many copies that a node
+// used more than its memory.
+BOOST_AUTO_TEST_CASE(a_body_of_the_largest_size_fits_in_memory) {
+  constexpr size_t kLargestBody = 67'108'864;
+  constexpr uint64_t kMemoryMegabytes = 260;
+  Fixture& fixture = Fixture::Get();
+  HttpRequest request = Mesh::Request("/pay/up", "id-large", "k1");
+  request.method = "POST";
+  request.body = std::string(kLargestBody, 'x');
+  BOOST_TEST(fixture.mesh.StatusOf(fixture.mesh.Callers(0), request) == 200);
+  for (const auto& node : fixture.mesh.nodes) {
+    BOOST_TEST_MESSAGE("node used " << node->PeakMegabytes() << " MB");
+    BOOST_TEST(node->PeakMegabytes() < kMemoryMegabytes);
+  }
+}
+
 // Pattern: one odd entry of another writer ends all processes that read it, one
 // after the other.
 BOOST_AUTO_TEST_CASE(odd_documents_end_no_process) {
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -62,6 +62,9 @@
       std::shared_ptr<CancellationToken> cancellation) {
     {
       std::scoped_lock lock(m_mutex);
+      // Received() copies what is kept.
+      constexpr size_t kKeptBytes = 65'536;
+      request.body.resize(std::min(request.body.size(), kKeptBytes));
       m_received.push_back(request);
     }
     asio::steady_timer timer(m_context);
@@ -137,9 +140,9 @@
             "\nbackend_address = " + Backend(i) +
             "\ncaller_address = " + Callers(i) +
             "\nlocal_address = " + Local(i) + "\nready_address = " + Ready(i) +
-            "\npeer_address = " + At(NodeHost(i), m_ports[4]) +
-            "\nseeds = " + Seeds() +
-            "\ncontrol_peer_port = " + std::to_string(m_ports[4]) + "\n");
+            "\npeer_address = " + At(NodeHost(i), m_ports[4]) + "\nseeds = " +
+            Seeds() + "\ncontrol_peer_port = " + std::to_string(m_ports[4]) +
+            "\nmemory_limit = 260\n");
   }
 
   HttpResult Send(const std::string& address, const HttpRequest& request) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -99,6 +99,18 @@
 
   void Signal(int number) const { ::kill(m_pid, number); }
 
+  // Largest resident memory so far, in MB.
+  uint64_t PeakMegabytes() const {
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("VmHWM:")) {
+        return std::stoull(line.substr(line.find_first_of("0123456789"))) /
+               1024;
+      }
+    }
+    return 0;
+  }
+
   // Returns whether the process has neither exited nor been ended.
   bool IsRunning() {
     siginfo_t info{};
