--- a/src/adapters/async/frame_link.cc
+++ b/src/adapters/async/frame_link.cc
@@ -235,6 +235,7 @@
     }
     const std::vector<std::string> parts = m_outgoing.Take();
     std::vector<asio::const_buffer> buffers;
+    buffers.reserve(parts.size());
     for (const std::string& part : parts) {
       buffers.push_back(asio::buffer(part));
     }
