Trim the plan only while the members of a service are busy

Change: waits and refusals count only while more than 0.7 of the usable slots are busy. Result: refusals_of_idle_servers_limit_nothing fails before and passes after; unit-fleet-shedding passes.

--- a/include/rosemarywinch/decisions/control/service_capacity.h
+++ b/include/rosemarywinch/decisions/control/service_capacity.h
@@ -28,8 +28,10 @@
   double RefusedFraction() const;
   /// Waiting calls are being worked off.
   bool IsDraining() const;
-  /// Calls wait or are refused, so that the slots in use say little about what
-  /// the admitted requests need.
+  /// Most of the usable slots are in use.
+  bool IsBusy() const;
+  /// Calls wait or are refused at busy members, so that the slots in use say
+  /// little about what the admitted requests need.
   bool IsStrained() const;
   /// Returns the slots to plan for.
   double Capacity() const;
--- a/src/decisions/control/service_capacity.cc
+++ b/src/decisions/control/service_capacity.cc
@@ -30,9 +30,9 @@
 // A wait that falls by this factor in a step needs no further measure.
 constexpr double kDrainFactor = 0.9;
 constexpr double kMinTrim = 0.3;
-// Calls that wait, or are refused now and then, while fewer slots are busy are
-// a matter of balancing, or of a member that is cold.
-constexpr double kMinBusy = 0.5;
+// Calls that wait or are refused while fewer slots are busy are a matter of
+// balancing or of faulty members: fewer requests would not help the others.
+constexpr double kMinBusy = 0.7;
 
 // Wait and fraction of refused calls above which the slots in use say little
 // about what the admitted requests need.
@@ -61,18 +61,20 @@
   return std::max(planned, load.usable_slots * kMinCapacity) - unknown_usage;
 }
 
+bool ServiceCapacity::IsBusy() const {
+  return load.busy > kMinBusy * load.usable_slots;
+}
+
 bool ServiceCapacity::IsStrained() const {
-  return MeanWait() > kStrainedWaitSeconds ||
-         RefusedFraction() > kStrainedRefused;
+  return IsBusy() && (MeanWait() > kStrainedWaitSeconds ||
+                      RefusedFraction() > kStrainedRefused);
 }
 
 void ServiceCapacity::UpdateTrim() {
   const double wait = MeanWait();
   const double refused = RefusedFraction();
-  const bool busy = load.busy > kMinBusy * load.usable_slots;
   const bool overloaded =
-      refused > kManyRefused ||
-      (busy && (refused > kMaxRefused || wait > kMaxWaitSeconds));
+      IsBusy() && (refused > kMaxRefused || wait > kMaxWaitSeconds);
   overloaded_steps = overloaded ? overloaded_steps + 1 : 0;
   if (!overloaded) {
     trim = std::min(1.0, trim + kTrimRecovery);
--- a/tests/unit-admission-plan.cpp
+++ b/tests/unit-admission-plan.cpp
@@ -88,6 +88,25 @@
 
 }  // namespace
 
+// Guards against refusals of faulty servers that are not busy being taken for a
+// shortage: the plan then admits less and less, and the servers idle.
+BOOST_AUTO_TEST_CASE(refusals_of_idle_servers_limit_nothing) {
+  OneNode node;
+  for (int poll = 0; poll < 30; ++poll) {
+    node.now = node.now + kPollInterval;
+    node.request.node = "n1";
+    node.request.member.service = "shop";
+    node.request.member.state = BackendState::kReady;
+    // Half of the calls are refused, whatever arrives.
+    node.request.load = BackendLoad{10, 4, 0, 40, 40, 0};
+    node.request.demand = {Demand(80, 80)};
+    node.request.usage = {{"shop", 4}};
+    BOOST_REQUIRE(node.Report());
+    node.planner.Plan(node.now, NoLimit);
+    BOOST_REQUIRE(node.plan().entries.empty());
+  }
+}
+
 // Guards against the idle slots of an evacuated data centre being planned for,
 // so that twice as much is admitted as the others can serve.
 BOOST_AUTO_TEST_CASE(slots_of_evacuated_nodes_are_no_capacity) {
