Leave the queue of a hung server out of the wait of its service

Cause: the mean wait of a service is its waiting calls over its completed ones, so that one member that hangs (srv_grey mute, lying health) with hundreds of waiting calls trimmed the plan of all. Change: waiting calls of a member count up to those that it answers in 2 s.

--- a/src/decisions/control/admission_planner.cc
+++ b/src/decisions/control/admission_planner.cc
@@ -18,6 +18,8 @@
 constexpr Duration kServiceTtl{60'000};
 constexpr double kMaxNumber = 1e6;
 constexpr size_t kMaxListLength = 512;
+// Waiting calls of a member count up to those that it answers in this time.
+constexpr double kMaxCountedWaitSeconds = 2;
 
 // Part of the announced slots that nodes use; for reports without a load.
 constexpr double kUsableSlots = 0.94;
@@ -60,6 +62,12 @@
   mean += gain * (sample - mean);
 }
 
+// The queue of a member that answers hardly any call says nothing about the
+// service: fewer requests would not shorten it.
+double CountedWaiting(const BackendLoad& load) {
+  return std::min(load.waiting, load.completed_rate * kMaxCountedWaitSeconds);
+}
+
 BackendLoad LoadOf(const PollRequest& request, bool in_use) {
   BackendLoad load = request.load.value_or(BackendLoad{});
   if (!request.load) {
@@ -157,7 +165,7 @@
       service.seen = now;
       service.load.usable_slots += report.load.usable_slots;
       service.load.busy += report.load.busy;
-      service.load.waiting += report.load.waiting;
+      service.load.waiting += CountedWaiting(report.load);
       service.load.completed_rate += report.load.completed_rate;
       service.load.refused_rate += report.load.refused_rate;
       for (const EntryUsage& usage : report.usage) {
--- a/tests/unit-admission-plan.cpp
+++ b/tests/unit-admission-plan.cpp
@@ -107,6 +107,23 @@
   }
 }
 
+// Guards against the queue of one server that answers nothing being taken for a
+// shortage of the whole service.
+BOOST_AUTO_TEST_CASE(the_queue_of_a_hung_server_limits_nothing) {
+  OneNode node;
+  PollRequest hung;
+  hung.node = "n2";
+  hung.member.service = "shop";
+  hung.member.state = BackendState::kReady;
+  hung.load = BackendLoad{2, 2, 400, 0, 0, 0};
+  for (int poll = 0; poll < 30; ++poll) {
+    BOOST_REQUIRE(std::holds_alternative<Done>(
+        Capture([&] { return node.planner.OnReport(node.now, hung); })));
+    node.Poll({Demand(80, 80)}, 8);
+    BOOST_REQUIRE(node.plan().entries.empty());
+  }
+}
+
 // Guards against the idle slots of an evacuated data centre being planned for,
 // so that twice as much is admitted as the others can serve.
 BOOST_AUTO_TEST_CASE(slots_of_evacuated_nodes_are_no_capacity) {
