Take a running request for the parent of a call with its own deadline

Change: such a call gets the class of a random one of the requests that run at its server. Ruled out: the class of the latest start, which ignores how long requests run.

--- a/include/rosemarywinch/programs/mesh/backend_proxy.h
+++ b/include/rosemarywinch/programs/mesh/backend_proxy.h
@@ -104,6 +104,11 @@
     m_on_run = std::move(on_run);
   }
 
+  /// Sets the callback for the end of each request that was sent.
+  void SetEndCallback(std::function<void(const EntryClass& entry)> on_end) {
+    m_on_end = std::move(on_end);
+  }
+
   /// Returns the slots used by requests of each entry service since the last
   /// call.
   std::vector<EntryUsage> TakeUsage();
@@ -161,6 +166,7 @@
   BackendChannel m_channel;
   std::function<void()> m_on_change;
   std::function<void(const EntryClass&, TimePoint)> m_on_run;
+  std::function<void(const EntryClass&)> m_on_end = [](const EntryClass&) {};
   std::function<std::vector<ServicePressure>()> m_pressure_source;
   std::function<ServiceSpec()> m_service_source = [] { return ServiceSpec(); };
   mutable std::mutex m_mutex;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -97,6 +97,9 @@
   /// Counts a request that is about to be sent to the local backend server and
   /// must end by `deadline`.
   void CountRun(const EntryClass& entry, TimePoint deadline);
+
+  /// Counts the end of a request that the local backend server ran.
+  void CountRunEnd(const EntryClass& entry);
   /// Counts a nested call of the local backend server to `service`, made for a
   /// request that must end by `deadline`. Returns what is known of that
   /// request.
--- a/src/decisions/traffic/parent_requests.cc
+++ b/src/decisions/traffic/parent_requests.cc
@@ -19,20 +19,47 @@
                            TimePoint deadline,
                            EntryClass entry) {
   Expire(now);
+  if (!entry.service.empty()) {
+    ++m_running[entry];
+  }
   m_requests.emplace(deadline, ParentRequest{std::move(entry), 0});
 }
 
-ParentRequest ParentRequests::OnCall(TimePoint now, TimePoint deadline) {
+void ParentRequests::OnEnd(const EntryClass& entry) {
+  const auto found = m_running.find(entry);
+  if (found != m_running.end() && --found->second == 0) {
+    m_running.erase(found);
+  }
+}
+
+ParentRequest ParentRequests::OnCall(TimePoint now,
+                                     TimePoint deadline,
+                                     double point) {
   Expire(now);
   auto found = FindNearest(deadline);
   if (found == m_requests.end()) {
-    found = m_requests.emplace(deadline, ParentRequest{});
+    found = m_requests.emplace(deadline, ParentRequest{RunningClass(point), 0});
   }
   ParentRequest parent = found->second;
   ++found->second.calls_before;
   return parent;
 }
 
+EntryClass ParentRequests::RunningClass(double point) const {
+  double running = 0;
+  for (const auto& [entry, count] : m_running) {
+    running += count;
+  }
+  double remaining = point * running;
+  for (const auto& [entry, count] : m_running) {
+    if (remaining < count) {
+      return entry;
+    }
+    remaining -= count;
+  }
+  return {};
+}
+
 void ParentRequests::Expire(TimePoint now) {
   m_requests.erase(m_requests.begin(), m_requests.lower_bound(now - kMaxAfter));
 }
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -375,6 +375,7 @@
 void BackendProxy::FinishRequest(const HopRequest& request,
                                  const CallSample& sample) {
   const TimePoint now = m_clock.Now();
+  m_on_end({request.entry_service, request.entry_priority});
   std::scoped_lock lock(m_mutex);
   m_usage.End(now, request.entry_service);
   NotifyWaiters(m_queue.Finish(now, sample));
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -91,6 +91,8 @@
         [this](const EntryClass& entry, TimePoint deadline) {
           m_view.CountRun(entry, deadline);
         });
+    m_backend_proxy.SetEndCallback(
+        [this](const EntryClass& entry) { m_view.CountRunEnd(entry); });
     m_backend_proxy.SetServiceSource([this] {
       const auto config = m_view.CurrentConfigState().config;
       return config ? config->SettingsOf(m_settings.service) : ServiceSpec();
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -309,12 +309,18 @@
   m_parent_requests.OnRun(now, deadline, entry);
 }
 
+void MeshView::CountRunEnd(const EntryClass& entry) {
+  std::scoped_lock lock(m_dependencies_mutex);
+  m_parent_requests.OnEnd(entry);
+}
+
 ParentRequest MeshView::CountCall(const std::string& service,
                                   TimePoint deadline) {
   const TimePoint now = m_clock.Now();
+  const double point = RandomFraction();
   std::scoped_lock lock(m_dependencies_mutex);
   m_dependencies.OnCall(now, service);
-  return m_parent_requests.OnCall(now, deadline);
+  return m_parent_requests.OnCall(now, deadline, point);
 }
 
 void MeshView::RecordDependencyPressures(
