Take back the faster spill of calls to other data centres

Cause: the try (only busy slots fill a service, steps of 26 % down) sends calls of an overloaded last service to data centres that are nearly full too. A long queue in one data centre can still keep its calls there.

--- a/src/decisions/control/service_balancer.cc
+++ b/src/decisions/control/service_balancer.cc
@@ -66,7 +66,7 @@
 // it falls to the lower one.
 constexpr double kFull = 0.95;
 constexpr double kNotFull = 0.88;
-constexpr double kMaxSpillStep = 1.35;
+constexpr double kMaxSpillStep = 1.15;
 constexpr double kMinReturnStep = 1.05;
 constexpr double kMaxReturnStep = 1.5;
 constexpr double kReturnGain = 0.5;
@@ -258,15 +258,12 @@
 void ServiceBalancer::CorrectFractions() {
   double usable = 0;
   double load = 0;
-  double busy = 0;
   for (const auto& [name, data_centre] : m_data_centres) {
     usable += data_centre.usable;
     load += data_centre.load;
-    busy += std::min(data_centre.load, data_centre.usable);
   }
   const double whole = usable > 0 ? load / usable : 0;
-  // Calls that wait in one data centre do not fill the slots of another.
-  m_full = usable > 0 && busy >= (m_full ? kNotFull : kFull) * usable;
+  m_full = whole >= (m_full ? kNotFull : kFull);
   const double target = std::max(kSpillUtilization, whole);
   for (auto& [name, data_centre] : m_data_centres) {
     double& fraction = data_centre.local_fraction;
