Limit no class by a service with free slots

Change: a service with less than 0.4 of its usable slots busy and hardly a waiting call limits nothing. Ruled out: 0.5, with which the plan does not converge from shut (unit-fleet-shedding). Result: a_service_with_free_slots_limits_nothing fails before and passes after; unit-admission-plan and unit-fleet-shedding pass.

--- a/include/rosemarywinch/decisions/control/service_capacity.h
+++ b/include/rosemarywinch/decisions/control/service_capacity.h
@@ -30,6 +30,9 @@
   bool IsDraining() const;
   /// Most of the usable slots are in use.
   bool IsBusy() const;
+  /// Enough slots are free, and hardly any call waits, so that the service
+  /// limits no class.
+  bool HasFreeSlots() const;
   /// Calls wait or are refused at busy members, so that the slots in use say
   /// little about what the admitted requests need.
   bool IsStrained() const;
--- a/src/decisions/control/admission_planner.cc
+++ b/src/decisions/control/admission_planner.cc
@@ -17,6 +17,7 @@
 // A service without members keeps its trim factor for this long.
 constexpr Duration kServiceTtl{60'000};
 constexpr double kMaxNumber = 1e6;
+constexpr double kUnlimitedSlots = 1e9;
 constexpr size_t kMaxListLength = 512;
 // Waiting calls of a member count up to those that it answers in this time.
 constexpr double kMaxCountedWaitSeconds = 2;
@@ -278,7 +279,9 @@
   for (const auto& [name, service] : m_services) {
     indexes[name] = names.size();
     names.push_back(name);
-    capacities.push_back(std::max(0.0, service.Capacity()));
+    capacities.push_back(service.HasFreeSlots()
+                             ? kUnlimitedSlots
+                             : std::max(0.0, service.Capacity()));
   }
   std::vector<ClassDemand> demands;
   std::vector<std::vector<EntryAccount>> accounts;
--- a/src/decisions/control/service_capacity.cc
+++ b/src/decisions/control/service_capacity.cc
@@ -33,6 +33,9 @@
 // Calls that wait or are refused while fewer slots are busy are a matter of
 // balancing or of faulty members: fewer requests would not help the others.
 constexpr double kMinBusy = 0.7;
+// With less than this part of the usable slots busy a service limits no class:
+// costs from few requests, as after a restart, may be far too high.
+constexpr double kFreeBelow = 0.4;
 
 // Wait and fraction of refused calls above which the slots in use say little
 // about what the admitted requests need.
@@ -65,6 +68,11 @@
   return load.busy > kMinBusy * load.usable_slots;
 }
 
+bool ServiceCapacity::HasFreeSlots() const {
+  return load.busy < kFreeBelow * load.usable_slots &&
+         load.waiting < kMinCapacity * load.usable_slots;
+}
+
 bool ServiceCapacity::IsStrained() const {
   return IsBusy() && (MeanWait() > kStrainedWaitSeconds ||
                       RefusedFraction() > kStrainedRefused);
--- a/tests/unit-admission-plan.cpp
+++ b/tests/unit-admission-plan.cpp
@@ -107,6 +107,16 @@
   }
 }
 
+// Guards against costs from the first few requests, here a long one, that limit
+// a class while most slots are free.
+BOOST_AUTO_TEST_CASE(a_service_with_free_slots_limits_nothing) {
+  OneNode node;
+  for (int poll = 0; poll < 12; ++poll) {
+    node.Poll({Demand(3, 0.6)}, 3);
+    BOOST_REQUIRE(node.plan().entries.empty());
+  }
+}
+
 // Guards against the queue of one server that answers nothing being taken for a
 // shortage of the whole service.
 BOOST_AUTO_TEST_CASE(the_queue_of_a_hung_server_limits_nothing) {
