Log when a configuration is in force and which polls fail

The hypotheses of docs/incidents/2026-12-06-config.md could not be told apart: control logged a put without the nodes that still acted on older versions, a node logged a version without its age, and only the first failed poll of an outage had a line. A tracker of the mesh configuration that nodes act on gives the lines configuration_in_force and nodes_pending; poll_failed names replica, reason and duration.

--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -70,9 +70,15 @@
   /// leads no more.
   AdmissionPlan CurrentPlan();
 
-  void OnLeader(TimePoint now, uint64_t term, uint64_t version) override;
+  /// Returns the nodes that may still act on a mesh configuration older than
+  /// `version`. Empty on a replica that does not lead.
+  std::vector<std::string> PendingNodes(uint64_t version);
+
+  void OnLeader(TimePoint now,
+                uint64_t term,
+                const AppliedVersions& versions) override;
   void OnFollower(TimePoint now) override;
-  void OnApplied(TimePoint now, uint64_t version) override;
+  void OnApplied(TimePoint now, const AppliedVersions& versions) override;
 
  private:
   struct VersionState {
@@ -81,6 +87,16 @@
     std::condition_variable changed;
     VersionTracker versions;
   };
+  /// Which mesh configuration the nodes act on.
+  struct ConfigurationState {
+    explicit ConfigurationState(Duration lease) : versions(lease) {}
+    std::mutex mutex;
+    VersionTracker versions;
+    uint64_t newest = 0;
+    TimePoint newest_applied;
+    /// The latest version that was logged as in force.
+    uint64_t logged = 0;
+  };
   struct Directory {
     explicit Directory(Duration timeout) : members(timeout) {}
     std::mutex mutex;
@@ -109,6 +125,8 @@
     std::map<std::string, QuotaPool> pools;
   };
 
+  void RecordConfiguration(const ConsensusDriver::LeaderView& view,
+                           const PollRequest& request);
   void AddFleetState(const FleetState& state,
                      uint64_t version,
                      PollResponse& response) const;
@@ -139,6 +157,7 @@
   const std::vector<std::string> m_data_centres;
   ConsensusDriver* m_driver = nullptr;
   VersionState m_version_state;
+  ConfigurationState m_configuration_state;
   Directory m_directory;
   BalanceBoard m_balances;
   AdmissionState m_admission;
--- a/include/rosemarywinch/programs/mesh/mesh_poller.h
+++ b/include/rosemarywinch/programs/mesh/mesh_poller.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "rosemarywinch/adapters/async/link_client.h"
+#include "rosemarywinch/adapters/metrics.h"
 #include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/programs/mesh/backend_proxy.h"
 #include "rosemarywinch/programs/mesh/mesh_view.h"
@@ -34,7 +35,8 @@
              MeshView& view,
              BackendProxy& backend_proxy,
              LinkClient& links,
-             Clock& clock);
+             Clock& clock,
+             Metrics& metrics);
 
   void Start();
 
@@ -71,6 +73,7 @@
   BackendProxy& m_backend_proxy;
   LinkClient& m_links;
   Clock& m_clock;
+  Metrics& m_metrics;
   Strand m_strand;
   asio::steady_timer m_timer;
   std::atomic<bool> m_poll_requested{false};
--- a/include/rosemarywinch/programs/mesh/operator_call_handler.h
+++ b/include/rosemarywinch/programs/mesh/operator_call_handler.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "rosemarywinch/adapters/system.h"
+#include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/interfaces/mesh_protocol.h"
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "rosemarywinch/programs/control_service.h"
@@ -23,12 +24,14 @@
                       uint16_t operator_port,
                       MeshProtocol& protocol,
                       ControlService& service,
-                      ConsensusDriver& driver)
+                      ConsensusDriver& driver,
+                      Clock& clock)
       : m_replica_id(replica_id),
         m_operator_port(operator_port),
         m_protocol(protocol),
         m_service(service),
-        m_driver(driver) {}
+        m_driver(driver),
+        m_clock(clock) {}
 
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
 
@@ -54,6 +57,7 @@
   MeshProtocol& m_protocol;
   ControlService& m_service;
   ConsensusDriver& m_driver;
+  Clock& m_clock;
   const SodiumHasher m_hasher;
 };
 
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -38,6 +38,7 @@
       m_tolerance(tolerance),
       m_data_centres(std::move(data_centres)),
       m_version_state(node_lease),
+      m_configuration_state(node_lease),
       m_directory(LessorLeaseDuration(node_lease)) {}
 
 Result<PollResponse> ControlService::Poll(const PollRequest& request) {
@@ -68,6 +69,7 @@
   AddAdmission(view, request, response);
   AddAllowances(view, request, response);
   AddQuotas(view, request, response);
+  RecordConfiguration(view, request);
   std::scoped_lock lock(m_version_state.mutex);
   m_version_state.versions.OnPoll(view.now, request.node,
                                   request.config_version);
@@ -130,10 +132,47 @@
   return status;
 }
 
-void ControlService::OnLeader(TimePoint now, uint64_t term, uint64_t version) {
+// A node without a configuration serves nothing, so that it is not waited for.
+void ControlService::RecordConfiguration(
+    const ConsensusDriver::LeaderView& view,
+    const PollRequest& request) {
+  const uint64_t current = view.state->configuration.version;
+  const uint64_t held = request.configuration_version;
+  ConfigurationState& state = m_configuration_state;
+  std::scoped_lock lock(state.mutex);
+  state.versions.OnPoll(view.now, request.node, held == 0 ? current : held);
+  if (state.logged < state.newest &&
+      state.versions.InForce(view.now) >= state.newest) {
+    state.logged = state.newest;
+    LogEvent(
+        LogLevel::kInfo, "configuration_in_force",
+        {{"version", std::to_string(state.newest)},
+         {"after_ms", std::to_string((view.now - state.newest_applied).ms)}});
+  }
+}
+
+std::vector<std::string> ControlService::PendingNodes(uint64_t version) {
+  const auto view = Capture([&] { return m_driver->ReadAsLeader(); });
+  const auto* leader = std::get_if<ConsensusDriver::LeaderView>(&view);
+  if (leader == nullptr) {
+    return {};
+  }
+  std::scoped_lock lock(m_configuration_state.mutex);
+  return m_configuration_state.versions.PendingNodes(leader->now, version);
+}
+
+void ControlService::OnLeader(TimePoint now,
+                              uint64_t term,
+                              const AppliedVersions& versions) {
   {
     std::scoped_lock lock(m_version_state.mutex);
-    m_version_state.versions.Reset(now, version);
+    m_version_state.versions.Reset(now, versions.fleet);
+  }
+  {
+    std::scoped_lock lock(m_configuration_state.mutex);
+    m_configuration_state.versions.Reset(now, versions.configuration);
+    m_configuration_state.newest = versions.configuration;
+    m_configuration_state.newest_applied = now;
   }
   {
     std::scoped_lock lock(m_directory.mutex);
@@ -145,7 +184,8 @@
   }
   m_balances.Reset(now, term);
   // Without a change there is no account, so that no lease was granted.
-  const TimePoint last_earlier_grant = version == 0 ? now - m_lease : now;
+  const TimePoint last_earlier_grant =
+      versions.fleet == 0 ? now - m_lease : now;
   m_allocators.ForEach([&](AllocatorShard& shard) {
     shard.since = now;
     shard.last_earlier_grant = last_earlier_grant;
@@ -159,9 +199,18 @@
   m_version_state.changed.notify_all();
 }
 
-void ControlService::OnApplied(TimePoint now, uint64_t version) {
+void ControlService::OnApplied(TimePoint now, const AppliedVersions& versions) {
+  {
+    ConfigurationState& state = m_configuration_state;
+    std::scoped_lock lock(state.mutex);
+    state.versions.OnApplied(now, versions.configuration);
+    if (versions.configuration > state.newest) {
+      state.newest = versions.configuration;
+      state.newest_applied = now;
+    }
+  }
   std::scoped_lock lock(m_version_state.mutex);
-  m_version_state.versions.OnApplied(now, version);
+  m_version_state.versions.OnApplied(now, versions.fleet);
   m_version_state.changed.notify_all();
 }
 
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -110,7 +110,8 @@
                          PortOf(settings.operator_address).value_or(0),
                          protocol,
                          m_service,
-                         m_driver),
+                         m_driver,
+                         m_clock),
         m_listener(
             m_runtime.context(),
             [this](const std::shared_ptr<FrameLink>& link, const Frame& frame) {
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -79,7 +79,8 @@
                  m_view,
                  m_backend_proxy,
                  m_links,
-                 m_clock),
+                 m_clock,
+                 m_metrics),
         m_seed_watcher(
             m_runtime.context(),
             source.file,
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -35,12 +35,14 @@
                        MeshView& view,
                        BackendProxy& backend_proxy,
                        LinkClient& links,
-                       Clock& clock)
+                       Clock& clock,
+                       Metrics& metrics)
     : m_options(std::move(options)),
       m_view(view),
       m_backend_proxy(backend_proxy),
       m_links(links),
       m_clock(clock),
+      m_metrics(metrics),
       m_strand(asio::make_strand(context.get_executor())),
       m_timer(m_strand) {}
 
@@ -151,11 +153,23 @@
   const Outcome<Done> outcome = Capture(
       [&] { return ApplyReply(replica, sent, request.tokens_only, result); });
   const auto* error = std::get_if<Error>(&outcome);
+  const Duration took = m_clock.Now() - sent;
+  m_metrics.Add("control_polls_total");
+  m_metrics.Set("control_poll_ms", static_cast<double>(took.ms));
   if (error == nullptr) {
     LogReachability(true, "");
     co_return true;
   }
+  m_metrics.Add("control_poll_failures_total");
   std::scoped_lock lock(m_mutex);
+  if (m_leader == replica) {
+    LogEvent(LogLevel::kInfo, "poll_failed",
+             {{"replica", AddressFromIpv4(replica, m_options.control_port)},
+              {"answered",
+               result.status == ExchangeStatus::kReplied ? "true" : "false"},
+              {"took_ms", std::to_string(took.ms)},
+              {"why", error->Message()}});
+  }
   if (m_leader == replica) {
     m_leader = 0;
   }
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -158,9 +158,16 @@
     return Fail(ErrorId::kConflict, "control returned an older configuration");
   }
   if (config != nullptr && config->version() > current_version) {
-    LogEvent(LogLevel::kInfo, "configuration",
-             {{"version", std::to_string(config->version())},
-              {"before", std::to_string(current_version)}});
+    const TimePoint now = m_clock.Now();
+    const Duration confirmed_before = now - m_control_state.confirmed;
+    LogEvent(
+        LogLevel::kInfo, "configuration",
+        {{"version", std::to_string(config->version())},
+         {"before", std::to_string(current_version)},
+         {"in_place", std::to_string(response.configuration_version)},
+         {"poll_ms", std::to_string((now - sent).ms)},
+         {"confirmed_ms_ago",
+          current_version == 0 ? "" : std::to_string(confirmed_before.ms)}});
     m_control_state.config = std::move(config);
     m_control_state.document = std::move(document);
   }
--- a/src/programs/mesh/operator_call_handler.cc
+++ b/src/programs/mesh/operator_call_handler.cc
@@ -57,9 +57,11 @@
 asio::awaitable<HttpResponse> OperatorCallHandler::Execute(
     HttpRequest request,
     PutConfigurationCall call) {
+  const TimePoint begun = m_clock.Now();
   const std::string version = std::to_string(call.configuration.version);
   PutConfiguration change;
-  change.version = call.configuration.version;
+  const uint64_t change_version = call.configuration.version;
+  change.version = change_version;
   change.base_version = call.configuration.base_version;
   change.document = std::move(call.document);
   change.fingerprint = m_hasher.Hash(call.canonical);
@@ -77,10 +79,13 @@
     co_return RespondOrRedirect(request, *error);
   }
   const auto& result = std::get<CommandResult>(outcome);
+  const size_t pending = m_service.PendingNodes(change_version).size();
   LogEvent(LogLevel::kInfo, "configuration_put",
            {{"version", version},
             {"result", std::string(NameOf(result.error))},
-            {"in_place", std::to_string(result.version)}});
+            {"in_place", std::to_string(result.version)},
+            {"took_ms", std::to_string((m_clock.Now() - begun).ms)},
+            {"nodes_pending", std::to_string(pending)}});
   co_return MakeResponse({result.error, result.detail});
 }
 
--- a/tests/unit-consensus-driver.cpp
+++ b/tests/unit-consensus-driver.cpp
@@ -16,12 +16,14 @@
 
 class CountingListener : public ConsensusListener {
  public:
-  void OnLeader(TimePoint, uint64_t, uint64_t) override {
+  void OnLeader(TimePoint, uint64_t, const AppliedVersions&) override {
     ++leader_changes;
     leader_changes.notify_all();
   }
   void OnFollower(TimePoint) override {}
-  void OnApplied(TimePoint, uint64_t version) override { applied = version; }
+  void OnApplied(TimePoint, const AppliedVersions& versions) override {
+    applied = versions.fleet;
+  }
 
   std::atomic<int> leader_changes = 0;
   std::atomic<uint64_t> applied = 0;
--- a/tests/unit-evacuation-calls.cpp
+++ b/tests/unit-evacuation-calls.cpp
@@ -86,7 +86,7 @@
   WireProtocol m_protocol;
   ControlService m_service{{3'000}, QuotaTolerance{}, {"dc1", "dc2"}};
   ConsensusDriver m_driver;
-  OperatorCallHandler m_handler{1, 1, m_protocol, m_service, m_driver};
+  OperatorCallHandler m_handler{1, 1, m_protocol, m_service, m_driver, m_clock};
 };
 
 // A backend proxy on its own thread.
