--- /dev/null
+++ b/tests/unit-configuration-in-force.cpp
@@ -0,0 +1,125 @@
+#define BOOST_TEST_MODULE configuration_in_force
+#include <boost/test/unit_test.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <chrono>
+#include <future>
+#include <thread>
+
+#include "platform/wire_protocol.h"
+#include "rosemarywinch/programs/mesh/operator_call_handler.h"
+#include "support/fakes.h"
+#include "support/mesh.h"
+
+using namespace rosemarywinch;
+using test::ConfigurationText;
+using test::WaitUntil;
+using trompeloeil::_;
+
+namespace {
+
+constexpr int kOk = 200;
+
+// The only replica of a cluster. Its nodes are played by the test.
+class Control {
+ public:
+  Control() {
+    m_service.Attach(m_driver);
+    BOOST_REQUIRE(m_driver.Start());
+    BOOST_REQUIRE(WaitUntil([&] {
+      return !std::holds_alternative<Error>(
+          Capture([&] { return m_driver.ReadAsLeader(); }));
+    }));
+  }
+  ~Control() {
+    m_context.stop();
+    m_thread.join();
+    m_driver.Stop();
+  }
+
+  // Begins to put a configuration.
+  std::future<int> BeginPut(int version, int base) {
+    return asio::co_spawn(
+        m_context,
+        [this, version, base]() -> asio::awaitable<int> {
+          const HttpResponse response = co_await m_handler.Handle(
+              HttpRequestBuilder("PUT", "/configuration")
+                  .Body(ConfigurationText(version, base, "k"))
+                  .Build());
+          co_return response.status;
+        },
+        asio::use_future);
+  }
+
+  // Puts a configuration, also again, until it is acknowledged or refused.
+  int Put(int version, int base) {
+    int status = 0;
+    WaitUntil([&] {
+      status = BeginPut(version, base).get();
+      return status != 503;
+    });
+    return status;
+  }
+
+  // Polls as a node that acts on configuration `held`, 0 for none. Returns the
+  // version that it is told to act on.
+  uint64_t Poll(const std::string& node, uint64_t held) {
+    PollRequest request;
+    request.protocol_version = consensus::kProtocolVersion;
+    request.node = node;
+    request.configuration_version = held;
+    const auto outcome = Capture([&] { return m_service.Poll(request); });
+    BOOST_REQUIRE(std::holds_alternative<PollResponse>(outcome));
+    return std::get<PollResponse>(outcome).configuration_version;
+  }
+
+ private:
+  static ConsensusDriver::Options Options() {
+    ConsensusDriver::Options options;
+    options.replica.replica_id = 1;
+    options.replica.replica_ids = {1};
+    options.replica.heartbeat = {20};
+    return options;
+  }
+
+  test::MockStorage m_storage;
+  test::MockTransport m_transport;
+  const std::unique_ptr<trompeloeil::expectation> m_recovers =
+      NAMED_ALLOW_CALL(m_storage, Recover()).RETURN(RecoveredState{});
+  const std::unique_ptr<trompeloeil::expectation> m_saves =
+      NAMED_ALLOW_CALL(m_storage, SaveHardState(_)).RETURN(Done{});
+  const std::unique_ptr<trompeloeil::expectation> m_appends =
+      NAMED_ALLOW_CALL(m_storage, Append(_)).RETURN(Done{});
+  SystemClock m_clock;
+  SystemRandom m_random;
+  WireProtocol m_protocol;
+  ControlService m_service{{3'000}, QuotaTolerance{}, {}};
+  ConsensusDriver m_driver{Options(), m_clock,     m_random,
+                           m_storage, m_transport, m_service};
+  OperatorCallHandler m_handler{1, 1, m_protocol, m_service, m_driver, m_clock};
+  asio::io_context m_context;
+  asio::executor_work_guard<asio::io_context::executor_type> m_work{
+      m_context.get_executor()};
+  std::thread m_thread{[this] { m_context.run(); }};
+};
+
+bool IsDone(const std::future<int>& answer) {
+  return answer.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+}
+
+}  // namespace
+
+// Failure: a configuration was acknowledged while nodes acted on the one before
+// it, and was not in force in time where their polls were held up.
+BOOST_AUTO_TEST_CASE(no_acknowledgement_while_a_node_acts_on_an_older_version) {
+  Control control;
+  BOOST_TEST(control.Put(4, 0) == kOk);
+  BOOST_TEST(control.Poll("late", 4) == 4u);
+  std::future<int> answer = control.BeginPut(6, 4);
+  BOOST_REQUIRE(WaitUntil([&] { return control.Poll("quick", 6) == 6u; }));
+  BOOST_TEST(!IsDone(answer));
+  BOOST_TEST(control.Poll("late", 6) == 6u);
+  const int status = answer.get();
+  BOOST_TEST((status == kOk || control.Put(6, 4) == kOk));
+}
