Read configurations on threads that serve nobody

Callers saw late configurations, and refusals for want of a leader, on a core that nobody disturbed. Cause: the first poll after a change parsed the whole document under a lock that every other poll of an account's quota waits for, and so both I/O threads of the leader; an order was parsed on one of them too. At 0.15 of a core that takes longer than the 500 ms for which a leader may be silent, so it lost its term, and its successor in the same way: 15 terms in 30 s. A replica now reads what it applies on a thread of its own, followers too, and orders on another. While a configuration is being read the limits of the former one hold; an account that is not in it gets no tokens yet and its node asks again. polls_are_answered_while_a_configuration_is_read blocks the reader and polls; before, the parser could not be replaced.

--- a/include/rosemarywinch/programs/consensus_driver.h
+++ b/include/rosemarywinch/programs/consensus_driver.h
@@ -22,24 +22,17 @@
 
 namespace rosemarywinch {
 
-/// Versions of the state that a replica has applied.
-struct AppliedVersions {
-  /// Number of changes of the fleet's state.
-  uint64_t fleet = 0;
-  /// Version of the mesh configuration, as its operator numbered it.
-  uint64_t configuration = 0;
-};
-
-/// Receives events of the replicated log. Called with the driver's lock held;
-/// implementations must not call back into the driver.
+/// Receives events of the replicated log, with the state that this replica has
+/// applied. Called with the driver's lock held; implementations must not call
+/// back into the driver.
 class ConsensusListener {
  public:
   virtual ~ConsensusListener() = default;
   virtual void OnLeader(TimePoint now,
                         uint64_t term,
-                        const AppliedVersions& versions) = 0;
+                        const FleetState& state) = 0;
   virtual void OnFollower(TimePoint now) = 0;
-  virtual void OnApplied(TimePoint now, const AppliedVersions& versions) = 0;
+  virtual void OnApplied(TimePoint now, const FleetState& state) = 0;
 };
 
 /// Runs a Replica: executes its effects, applies committed commands to the
@@ -126,7 +119,6 @@
   void Execute(const consensus::RestoreState& effect);
   void Execute(const consensus::RoleChanged& effect);
   void CompactIfLong();
-  AppliedVersions Applied() const;
   Error NotLeader() const;
   std::vector<uint32_t> VoterIds() const;
   bool MayServe(TimePoint now) const;
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,9 +16,9 @@
 #include "rosemarywinch/decisions/control/membership_directory.h"
 #include "rosemarywinch/decisions/control/quota_pool.h"
 #include "rosemarywinch/decisions/control/version_tracker.h"
-#include "rosemarywinch/decisions/mesh/mesh_config.h"
 #include "rosemarywinch/programs/balance_board.h"
 #include "rosemarywinch/programs/configuration_publisher.h"
+#include "rosemarywinch/programs/configuration_reader.h"
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "rosemarywinch/schema/control.h"
 #include "rosemarywinch/schema/fleet.h"
@@ -33,7 +34,8 @@
   /// poll count.
   explicit ControlService(Duration node_lease,
                           QuotaTolerance tolerance = {},
-                          std::vector<std::string> data_centres = {});
+                          std::vector<std::string> data_centres = {},
+                          ConfigurationReader::Parser parser = ParseMeshConfig);
 
   /// Sets the consensus driver. Must be called before the first request.
   void Attach(ConsensusDriver& driver) { m_driver = &driver; }
@@ -74,11 +76,9 @@
   /// `version`. Empty on a replica that does not lead.
   std::vector<std::string> PendingNodes(uint64_t version);
 
-  void OnLeader(TimePoint now,
-                uint64_t term,
-                const AppliedVersions& versions) override;
+  void OnLeader(TimePoint now, uint64_t term, const FleetState& state) override;
   void OnFollower(TimePoint now) override;
-  void OnApplied(TimePoint now, const AppliedVersions& versions) override;
+  void OnApplied(TimePoint now, const FleetState& state) override;
 
  private:
   struct VersionState {
@@ -142,7 +142,8 @@
   Result<Done> AddMeshConfiguration(const ConsensusDriver::LeaderView& view,
                                     const PollRequest& request,
                                     PollResponse& response);
-  RateLimit LimitOf(const FleetState& state, const std::string& account);
+  std::optional<RateLimit> LimitOf(const FleetState& state,
+                                   const std::string& account) const;
   void AddAllowances(const ConsensusDriver::LeaderView& view,
                      const PollRequest& request,
                      PollResponse& response);
@@ -164,9 +165,7 @@
   PendingDepartures m_pending_departures;
   Sharded<AllocatorShard> m_allocators;
   ConfigurationPublisher m_publisher;
-  std::mutex m_mesh_mutex;
-  /// The current mesh configuration, parsed once for each version.
-  std::shared_ptr<const MeshConfig> m_mesh;
+  ConfigurationReader m_reader;
 };
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/programs/mesh/operator_call_handler.h
+++ b/include/rosemarywinch/programs/mesh/operator_call_handler.h
@@ -2,7 +2,10 @@
 #define ROSEMARYWINCH_PROGRAMS_MESH_OPERATOR_CALL_HANDLER_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <cstdint>
+#include <functional>
+#include <optional>
 
 #include "rosemarywinch/adapters/system.h"
 #include "rosemarywinch/interfaces/clock.h"
@@ -48,6 +51,9 @@
   asio::awaitable<HttpResponse> ChangeEvacuation(HttpRequest request,
                                                  FleetCommand command);
   asio::awaitable<Outcome<CommandResult>> Submit(FleetCommand command);
+  Result<FleetCommand> MakeChange(PutConfigurationCall& call) const;
+  template <typename T>
+  asio::awaitable<std::optional<T>> InBackground(std::function<T()> work);
   HttpResponse RespondOrRedirect(const HttpRequest& request,
                                  const Error& error);
   HttpResponse MakeResponse(const Error& error);
@@ -59,6 +65,7 @@
   ConsensusDriver& m_driver;
   Clock& m_clock;
   const SodiumHasher m_hasher;
+  asio::thread_pool m_background{1};
 };
 
 }  // namespace rosemarywinch
--- a/src/programs/consensus_driver.cc
+++ b/src/programs/consensus_driver.cc
@@ -238,7 +238,7 @@
 void ConsensusDriver::Execute(const consensus::ApplyCommand& effect) {
   CommandResult result = rosemarywinch::ApplyCommand(m_state, effect.command);
   m_published.reset();
-  m_listener.OnApplied(m_clock.Now(), Applied());
+  m_listener.OnApplied(m_clock.Now(), m_state);
   const auto found = m_waiters.find(effect.index);
   if (found == m_waiters.end()) {
     return;
@@ -256,7 +256,7 @@
 void ConsensusDriver::Execute(const consensus::RestoreState& effect) {
   m_state = effect.state;
   m_published.reset();
-  m_listener.OnApplied(m_clock.Now(), Applied());
+  m_listener.OnApplied(m_clock.Now(), m_state);
 }
 
 void ConsensusDriver::Execute(const consensus::RoleChanged& effect) {
@@ -264,17 +264,13 @@
   LogEvent(LogLevel::kInfo, effect.leader ? "leader" : "follower",
            {{"term", std::to_string(effect.term)}});
   if (effect.leader) {
-    m_listener.OnLeader(now, effect.term, Applied());
+    m_listener.OnLeader(now, effect.term, m_state);
     return;
   }
   m_listener.OnFollower(now);
   FailWaiters();
 }
 
-AppliedVersions ConsensusDriver::Applied() const {
-  return {m_state.version, m_state.configuration.version};
-}
-
 void ConsensusDriver::FailWaiters() {
   for (const auto& [index, waiter] : std::exchange(m_waiters, {})) {
     waiter.done(
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "rosemarywinch/adapters/log.h"
-#include "rosemarywinch/adapters/mesh_codec.h"
 #include "rosemarywinch/decisions/control/lease.h"
 #include "rosemarywinch/decisions/fleet/departures.h"
 #include "rosemarywinch/decisions/fleet/evacuations.h"
@@ -18,6 +17,8 @@
 namespace {
 
 constexpr Duration kCommitTimeout{5000};
+// Stands for no limit of an account's rate in the admission plan.
+constexpr double kNoLimit = 0;
 constexpr std::chrono::milliseconds kInForceCheckInterval{100};
 
 Result<Done> CheckProtocol(uint32_t version) {
@@ -33,13 +34,15 @@
 
 ControlService::ControlService(Duration node_lease,
                                QuotaTolerance tolerance,
-                               std::vector<std::string> data_centres)
+                               std::vector<std::string> data_centres,
+                               ConfigurationReader::Parser parser)
     : m_lease(node_lease),
       m_tolerance(tolerance),
       m_data_centres(std::move(data_centres)),
       m_version_state(node_lease),
       m_configuration_state(node_lease),
-      m_directory(LessorLeaseDuration(node_lease)) {}
+      m_directory(LessorLeaseDuration(node_lease)),
+      m_reader(std::move(parser)) {}
 
 Result<PollResponse> ControlService::Poll(const PollRequest& request) {
   BOOST_LEAF_CHECK(CheckProtocol(request.protocol_version));
@@ -163,15 +166,15 @@
 
 void ControlService::OnLeader(TimePoint now,
                               uint64_t term,
-                              const AppliedVersions& versions) {
+                              const FleetState& state) {
   {
     std::scoped_lock lock(m_version_state.mutex);
-    m_version_state.versions.Reset(now, versions.fleet);
+    m_version_state.versions.Reset(now, state.version);
   }
   {
     std::scoped_lock lock(m_configuration_state.mutex);
-    m_configuration_state.versions.Reset(now, versions.configuration);
-    m_configuration_state.newest = versions.configuration;
+    m_configuration_state.versions.Reset(now, state.configuration.version);
+    m_configuration_state.newest = state.configuration.version;
     m_configuration_state.newest_applied = now;
   }
   {
@@ -184,8 +187,8 @@
   }
   m_balances.Reset(now, term);
   // Without a change there is no account, so that no lease was granted.
-  const TimePoint last_earlier_grant =
-      versions.fleet == 0 ? now - m_lease : now;
+  const TimePoint last_earlier_grant = state.version == 0 ? now - m_lease : now;
+  m_reader.Read(state.configuration);
   m_allocators.ForEach([&](AllocatorShard& shard) {
     shard.since = now;
     shard.last_earlier_grant = last_earlier_grant;
@@ -199,18 +202,24 @@
   m_version_state.changed.notify_all();
 }
 
-void ControlService::OnApplied(TimePoint now, const AppliedVersions& versions) {
+void ControlService::OnApplied(TimePoint now, const FleetState& state) {
+  const uint64_t configuration = state.configuration.version;
+  bool newer = false;
   {
-    ConfigurationState& state = m_configuration_state;
-    std::scoped_lock lock(state.mutex);
-    state.versions.OnApplied(now, versions.configuration);
-    if (versions.configuration > state.newest) {
-      state.newest = versions.configuration;
-      state.newest_applied = now;
+    ConfigurationState& nodes = m_configuration_state;
+    std::scoped_lock lock(nodes.mutex);
+    nodes.versions.OnApplied(now, configuration);
+    newer = configuration > nodes.newest;
+    if (newer) {
+      nodes.newest = configuration;
+      nodes.newest_applied = now;
     }
   }
+  if (newer) {
+    m_reader.Read(state.configuration);
+  }
   std::scoped_lock lock(m_version_state.mutex);
-  m_version_state.versions.OnApplied(now, versions.fleet);
+  m_version_state.versions.OnApplied(now, state.version);
   m_version_state.changed.notify_all();
 }
 
@@ -322,7 +331,8 @@
   }
   const AdmissionPlan& plan =
       planner.Plan(view.now, [&](const std::string& account) {
-        return LimitOf(*view.state, account).rate;
+        const auto limit = LimitOf(*view.state, account);
+        return limit ? limit->rate : kNoLimit;
       });
   response.admission_revision = plan.revision;
   if (plan.revision != request.admission_revision) {
@@ -349,39 +359,39 @@
   return Done{};
 }
 
-RateLimit ControlService::LimitOf(const FleetState& state,
-                                  const std::string& account) {
-  std::scoped_lock lock(m_mesh_mutex);
-  const ConfigurationRecord& record = state.configuration;
-  if (record.version > 0 &&
-      (m_mesh == nullptr || m_mesh->version() != record.version)) {
-    const auto built =
-        Capture([&] { return ParseMeshConfig(record.document); });
-    if (const auto* config =
-            std::get_if<std::shared_ptr<const MeshConfig>>(&built)) {
-      m_mesh = *config;
-    }
-  }
+// Returns nothing while the configuration that may hold the account is being
+// read; the node asks again.
+std::optional<RateLimit> ControlService::LimitOf(
+    const FleetState& state,
+    const std::string& account) const {
+  const std::shared_ptr<const MeshConfig> config = m_reader.Current();
   const AccountSpec* spec =
-      m_mesh == nullptr ? nullptr : m_mesh->FindAccount(account);
+      config == nullptr ? nullptr : config->FindAccount(account);
   if (spec != nullptr) {
-    return {spec->rate, spec->burst};
+    return RateLimit{spec->rate, spec->burst};
+  }
+  const uint64_t read = config == nullptr ? 0 : config->version();
+  if (read != state.configuration.version) {
+    return std::nullopt;
   }
   const EffectivePolicy policy = EffectiveAt(state, TreePath{"", "", account});
-  return {*policy.settings.rate, *policy.settings.burst};
+  return RateLimit{*policy.settings.rate, *policy.settings.burst};
 }
 
 void ControlService::AddAllowances(const ConsensusDriver::LeaderView& view,
                                    const PollRequest& request,
                                    PollResponse& response) {
   for (const AllowanceReport& report : request.allowances) {
-    const RateLimit limit = LimitOf(*view.state, report.account);
+    const auto limit = LimitOf(*view.state, report.account);
+    if (!limit) {
+      continue;
+    }
     m_allocators.With(report.account, [&](AllocatorShard& shard) {
       AllowanceAllocator& allocator =
           shard.allocators.try_emplace(report.account, shard.since, m_lease)
               .first->second;
       response.allowances.push_back(
-          allocator.OnReport(view.now, limit, request.node, report));
+          allocator.OnReport(view.now, *limit, request.node, report));
     });
   }
 }
@@ -390,7 +400,10 @@
                                const PollRequest& request,
                                PollResponse& response) {
   for (const QuotaReport& report : request.quotas) {
-    const RateLimit limit = LimitOf(*view.state, report.account);
+    const auto limit = LimitOf(*view.state, report.account);
+    if (!limit) {
+      continue;
+    }
     m_allocators.With(report.account, [&](AllocatorShard& shard) {
       QuotaPool& pool =
           shard.pools
@@ -398,7 +411,7 @@
                            m_lease, m_tolerance)
               .first->second;
       response.quotas.push_back(
-          pool.OnReport(view.now, limit, request.node, report));
+          pool.OnReport(view.now, *limit, request.node, report));
     });
   }
 }
--- a/src/programs/mesh/operator_call_handler.cc
+++ b/src/programs/mesh/operator_call_handler.cc
@@ -1,5 +1,6 @@
 #include "rosemarywinch/programs/mesh/operator_call_handler.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <memory>
 #include <string>
@@ -22,14 +23,40 @@
 constexpr int kBadRequest = 400;
 constexpr int kPreconditionFailed = 412;
 constexpr const char* kAuthor = "operator";
+// For earlier orders to be read, and this one.
+constexpr Duration kReadTimeout{10'000};
+
+Error TooBusy() {
+  return {ErrorId::kNotAccepted, "earlier orders are still being read"};
+}
 
 }  // namespace
 
 asio::awaitable<HttpResponse> OperatorCallHandler::Handle(HttpRequest request) {
-  OperatorCall call = m_protocol.ReadOperatorCall(request);
-  return std::visit(
-      [&](auto& kind) { return Execute(std::move(request), std::move(kind)); },
-      call);
+  const auto shared = std::make_shared<HttpRequest>(std::move(request));
+  const std::function<OperatorCall()> read = [this, shared] {
+    return m_protocol.ReadOperatorCall(*shared);
+  };
+  std::optional<OperatorCall> call = co_await InBackground(read);
+  if (!call) {
+    co_return MakeResponse(TooBusy());
+  }
+  co_return co_await std::visit(
+      [&](auto& kind) { return Execute(std::move(*shared), std::move(kind)); },
+      *call);
+}
+
+// Runs `work` on the background thread and waits for its result: to read a
+// large configuration takes longer than the threads that serve peers and nodes
+// may be held up.
+template <typename T>
+asio::awaitable<std::optional<T>> OperatorCallHandler::InBackground(
+    std::function<T()> work) {
+  const auto done =
+      std::make_shared<OneShot<T>>(co_await asio::this_coro::executor);
+  asio::post(m_background,
+             [done, work = std::move(work)] { done->Set(work()); });
+  co_return co_await done->Wait(kReadTimeout);
 }
 
 asio::awaitable<HttpResponse> OperatorCallHandler::Execute(HttpRequest,
@@ -58,23 +85,23 @@
     HttpRequest request,
     PutConfigurationCall call) {
   const TimePoint begun = m_clock.Now();
-  const std::string version = std::to_string(call.configuration.version);
-  PutConfiguration change;
   const uint64_t change_version = call.configuration.version;
-  change.version = change_version;
-  change.base_version = call.configuration.base_version;
-  change.document = std::move(call.document);
-  change.fingerprint = m_hasher.Hash(call.canonical);
-  const auto built =
-      Capture([&] { return MeshConfig::Build(std::move(call.configuration)); });
-  if (const auto* error = std::get_if<Error>(&built)) {
+  const std::string version = std::to_string(change_version);
+  const auto shared = std::make_shared<PutConfigurationCall>(std::move(call));
+  const std::function<Outcome<FleetCommand>()> make = [this, shared] {
+    return Capture([&] { return MakeChange(*shared); });
+  };
+  auto command = co_await InBackground(make);
+  if (!command) {
+    co_return MakeResponse(TooBusy());
+  }
+  if (const auto* error = std::get_if<Error>(&*command)) {
     LogEvent(LogLevel::kInfo, "configuration_refused",
              {{"version", version}, {"error", error->Message()}});
     co_return MakeResponse(*error);
   }
-  FleetCommand command;
-  command.change = std::move(change);
-  const auto outcome = co_await Submit(std::move(command));
+  const auto outcome =
+      co_await Submit(std::move(std::get<FleetCommand>(*command)));
   if (const auto* error = std::get_if<Error>(&outcome)) {
     co_return RespondOrRedirect(request, *error);
   }
@@ -89,6 +116,20 @@
   co_return MakeResponse({result.error, result.detail});
 }
 
+// Errors: those of MeshConfig::Build().
+Result<FleetCommand> OperatorCallHandler::MakeChange(
+    PutConfigurationCall& call) const {
+  PutConfiguration change;
+  change.version = call.configuration.version;
+  change.base_version = call.configuration.base_version;
+  change.document = std::move(call.document);
+  change.fingerprint = m_hasher.Hash(call.canonical);
+  BOOST_LEAF_CHECK(MeshConfig::Build(std::move(call.configuration)));
+  FleetCommand command;
+  command.change = std::move(change);
+  return command;
+}
+
 asio::awaitable<HttpResponse> OperatorCallHandler::Execute(
     HttpRequest request,
     StartEvacuationCall call) {
--- a/tests/unit-consensus-driver.cpp
+++ b/tests/unit-consensus-driver.cpp
@@ -16,13 +16,13 @@
 
 class CountingListener : public ConsensusListener {
  public:
-  void OnLeader(TimePoint, uint64_t, const AppliedVersions&) override {
+  void OnLeader(TimePoint, uint64_t, const FleetState&) override {
     ++leader_changes;
     leader_changes.notify_all();
   }
   void OnFollower(TimePoint) override {}
-  void OnApplied(TimePoint, const AppliedVersions& versions) override {
-    applied = versions.fleet;
+  void OnApplied(TimePoint, const FleetState& state) override {
+    applied = state.version;
   }
 
   std::atomic<int> leader_changes = 0;
--- a/tests/unit-control-service.cpp
+++ b/tests/unit-control-service.cpp
@@ -9,6 +9,7 @@
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "rosemarywinch/programs/control_service.h"
 #include "support/fakes.h"
+#include "support/mesh.h"
 
 namespace rosemarywinch {
 namespace {
@@ -18,7 +19,8 @@
 // A leader that is the only replica.
 class LeaderFixture {
  public:
-  LeaderFixture() {
+  explicit LeaderFixture(ConfigurationReader::Parser parser = ParseMeshConfig)
+      : m_parser(std::move(parser)) {
     m_service.Attach(m_driver);
     BOOST_REQUIRE(m_driver.Start());
     while (std::holds_alternative<Error>(
@@ -34,6 +36,12 @@
     return std::get<PollResponse>(outcome);
   }
 
+  void PutConfiguration(uint64_t version, const std::string& document) {
+    FleetCommand command;
+    command.change = rosemarywinch::PutConfiguration{version, 0, document, "f"};
+    BOOST_REQUIRE(m_driver.Submit(command, {5'000}));
+  }
+
   // Stores the departures in a poll and waits for that. Returns whether there
   // were any to store.
   bool Store(const PollRequest& request) {
@@ -55,6 +63,7 @@
     return options;
   }
 
+  const ConfigurationReader::Parser m_parser;
   test::MockStorage m_storage;
   test::MockTransport m_transport;
   const std::unique_ptr<trompeloeil::expectation> m_recovers =
@@ -65,7 +74,7 @@
       NAMED_ALLOW_CALL(m_storage, Append(_)).RETURN(Done{});
   SystemClock m_clock;
   SystemRandom m_random;
-  ControlService m_service{{3'000}, QuotaTolerance{}};
+  ControlService m_service{{3'000}, QuotaTolerance{}, {}, m_parser};
   ConsensusDriver m_driver{Options(), m_clock,     m_random,
                            m_storage, m_transport, m_service};
 };
@@ -128,5 +137,26 @@
   BOOST_TEST(other.services.front().members.front().node == "n2");
 }
 
+// Failure: the leader of a cluster that nobody disturbed lost its term each
+// time that its nodes polled after a large change, because the polls waited for
+// the configuration to be read.
+BOOST_AUTO_TEST_CASE(polls_are_answered_while_a_configuration_is_read) {
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  LeaderFixture leader([released](const std::string& document) {
+    released.wait();
+    return ParseMeshConfig(document);
+  });
+  leader.PutConfiguration(4, test::ConfigurationText(4, 0, "k"));
+  PollRequest request = RequestOf("n1");
+  request.quotas.front().account = "ann";
+  const PollResponse early = leader.Poll(request);
+  BOOST_TEST(early.configuration_version == 4u);
+  BOOST_TEST(early.quotas.empty());
+  release.set_value();
+  BOOST_TEST(
+      test::WaitUntil([&] { return !leader.Poll(request).quotas.empty(); }));
+}
+
 }  // namespace
 }  // namespace rosemarywinch
