Acknowledge a configuration once no node acts on an older one

Callers saw requests handled by an older configuration more than 2 s after a newer one had been acknowledged. Cause: the acknowledgement meant that a quorum had stored the version; nothing tied it to the nodes, which learn of it by polls that can be held up.

A node that has started anew acts on nothing and delays nobody; it asks for a whole document in a field of its own, so that version 0 has one meaning. A node polls again at once when it has taken over a configuration.

Its check no longer depends on threads: the order must be answered 503 while a node is late, where it was answered 200.

--- a/gen/rosemarywinch/schema/control.h
+++ b/gen/rosemarywinch/schema/control.h
@@ -73,11 +73,12 @@
   std::vector<EntryDemand> demand;
   std::vector<EntryUsage> usage;
   uint64_t admission_revision = 0;
+  bool wants_whole_document = false;
 
   bool operator==(const PollRequest&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 20> kPollRequestFields{{
+inline constexpr std::array<FieldInfo, 21> kPollRequestFields{{
     {"protocol_version", "", 0, 0, "", "", "", {}, 1, {}},
     {"cluster", "", 0, 0, "", "", "", {}, 2, {}},
     {"node", "", 0, 0, "", "", "", {}, 3, {}},
@@ -98,6 +99,7 @@
     {"demand", "", 0, 0, "", "", "", {}, 19, {}},
     {"usage", "", 0, 0, "", "", "", {}, 20, {}},
     {"admission_revision", "", 0, 0, "", "", "", {}, 21, {}},
+    {"wants_whole_document", "", 0, 0, "", "", "", {}, 22, {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -124,6 +126,7 @@
   visit(kPollRequestFields[17], self.demand);
   visit(kPollRequestFields[18], self.usage);
   visit(kPollRequestFields[19], self.admission_revision);
+  visit(kPollRequestFields[20], self.wants_whole_document);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -153,6 +156,8 @@
   visit(kPollRequestFields[18], self.usage, other.usage);
   visit(kPollRequestFields[19], self.admission_revision,
         other.admission_revision);
+  visit(kPollRequestFields[20], self.wants_whole_document,
+        other.wants_whole_document);
 }
 
 struct PollResponse {
--- a/gen/rosemarywinch/schema/mesh_settings.h
+++ b/gen/rosemarywinch/schema/mesh_settings.h
@@ -205,11 +205,12 @@
   double quota_overage = 0.1;
   double quota_slack = 20;
   std::string data_centres;
+  Duration apply_limit{2000};
 
   bool operator==(const MeshControlSettings&) const = default;
 };
 
-inline constexpr std::array<FieldInfo, 13> kMeshControlSettingsFields{{
+inline constexpr std::array<FieldInfo, 14> kMeshControlSettingsFields{{
     {"node_name", "", 0, 0, "", "name of this replica", "", {}, 1, {}},
     {"operator_address",
      "",
@@ -322,6 +323,17 @@
      {},
      13,
      {}},
+    {"apply_limit",
+     "ms",
+     100,
+     60000,
+     "2000",
+     "time after the acknowledgement of a configuration within which it must "
+     "be in force everywhere",
+     "",
+     {},
+     14,
+     {}},
 }};
 
 template <typename Self, typename Visitor>
@@ -341,6 +353,7 @@
   visit(kMeshControlSettingsFields[10], self.quota_overage);
   visit(kMeshControlSettingsFields[11], self.quota_slack);
   visit(kMeshControlSettingsFields[12], self.data_centres);
+  visit(kMeshControlSettingsFields[13], self.apply_limit);
 }
 
 template <typename Self, typename Other, typename Visitor>
@@ -367,6 +380,7 @@
         other.quota_overage);
   visit(kMeshControlSettingsFields[11], self.quota_slack, other.quota_slack);
   visit(kMeshControlSettingsFields[12], self.data_centres, other.data_centres);
+  visit(kMeshControlSettingsFields[13], self.apply_limit, other.apply_limit);
 }
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/decisions/control/version_tracker.h
+++ b/include/rosemarywinch/decisions/control/version_tracker.h
@@ -32,6 +32,11 @@
   /// Returns the latest version that is in force everywhere.
   uint64_t InForce(TimePoint now);
 
+  /// Returns whether no node acts on a version older than `version` once
+  /// `bound` has passed after `now`, even if nothing is heard of the nodes
+  /// until then.
+  bool InForceWithin(TimePoint now, Duration bound, uint64_t version);
+
   /// Returns the known nodes that may still act on a version older than
   /// `version`.
   std::vector<std::string> PendingNodes(TimePoint now, uint64_t version);
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -72,9 +72,18 @@
   /// leads no more.
   AdmissionPlan CurrentPlan();
 
-  /// Returns the nodes that may still act on a mesh configuration older than
-  /// `version`. Empty on a replica that does not lead.
-  std::vector<std::string> PendingNodes(uint64_t version);
+  /// How far a mesh configuration has come.
+  struct ConfigurationProgress {
+    /// No node acts on an older version after the bound that was asked for.
+    bool in_force = false;
+    /// Nodes that may still act on an older version.
+    std::vector<std::string> pending;
+  };
+
+  /// Returns how far configuration `version` has come, and whether it is in
+  /// force within `bound` whatever becomes of the pending nodes.
+  /// Errors: kNotLeader.
+  Result<ConfigurationProgress> ProgressOf(uint64_t version, Duration bound);
 
   void OnLeader(TimePoint now, uint64_t term, const FleetState& state) override;
   void OnFollower(TimePoint now) override;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -41,6 +41,10 @@
   };
   ConfigState CurrentConfigState() const;
 
+  /// Returns the version of the configuration that this node acts on, 0 for
+  /// none.
+  uint64_t ConfigurationVersion() const;
+
   /// Returns whether requests with keys can be served: there is a configuration
   /// and its lease has not expired.
   bool IsReady() const;
--- a/include/rosemarywinch/programs/mesh/operator_call_handler.h
+++ b/include/rosemarywinch/programs/mesh/operator_call_handler.h
@@ -22,19 +22,25 @@
 /// Thread-safe.
 class OperatorCallHandler {
  public:
-  /// Operators reach every replica at its address with `operator_port`.
+  static constexpr Duration kDefaultApplyLimit{2'000};
+
+  /// A configuration is acknowledged once no node can act on an older one when
+  /// `apply_limit` has passed after that. Operators reach every replica at its
+  /// address with `operator_port`.
   OperatorCallHandler(uint32_t replica_id,
                       uint16_t operator_port,
                       MeshProtocol& protocol,
                       ControlService& service,
                       ConsensusDriver& driver,
-                      Clock& clock)
+                      Clock& clock,
+                      Duration apply_limit = kDefaultApplyLimit)
       : m_replica_id(replica_id),
         m_operator_port(operator_port),
         m_protocol(protocol),
         m_service(service),
         m_driver(driver),
-        m_clock(clock) {}
+        m_clock(clock),
+        m_apply_limit(apply_limit) {}
 
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
 
@@ -51,6 +57,9 @@
   asio::awaitable<HttpResponse> ChangeEvacuation(HttpRequest request,
                                                  FleetCommand command);
   asio::awaitable<Outcome<CommandResult>> Submit(FleetCommand command);
+  asio::awaitable<ControlService::ConfigurationProgress> WaitInForce(
+      uint64_t version,
+      TimePoint deadline);
   Result<FleetCommand> MakeChange(PutConfigurationCall& call) const;
   template <typename T>
   asio::awaitable<std::optional<T>> InBackground(std::function<T()> work);
@@ -64,6 +73,7 @@
   ControlService& m_service;
   ConsensusDriver& m_driver;
   Clock& m_clock;
+  const Duration m_apply_limit;
   const SodiumHasher m_hasher;
   asio::thread_pool m_background{1};
 };
--- a/src/decisions/control/version_tracker.cc
+++ b/src/decisions/control/version_tracker.cc
@@ -7,7 +7,8 @@
 namespace rosemarywinch {
 
 void VersionTracker::Reset(TimePoint now, uint64_t version) {
-  m_since = now;
+  // Before the first version there is nothing that a node could act on.
+  m_since = version == 0 ? now - LessorLeaseDuration(m_lease) : now;
   m_in_force = 0;
   m_newest = version;
   m_nodes.clear();
@@ -48,6 +49,17 @@
   return m_in_force;
 }
 
+bool VersionTracker::InForceWithin(TimePoint now,
+                                   Duration bound,
+                                   uint64_t version) {
+  if (InForce(now) >= version) {
+    return true;
+  }
+  const auto applied = m_applied.lower_bound(version);
+  return applied != m_applied.end() &&
+         now + bound >= applied->second + LessorLeaseDuration(m_lease);
+}
+
 std::vector<std::string> VersionTracker::PendingNodes(TimePoint now,
                                                       uint64_t version) {
   ExpireLeases(now);
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -154,14 +154,16 @@
   }
 }
 
-std::vector<std::string> ControlService::PendingNodes(uint64_t version) {
-  const auto view = Capture([&] { return m_driver->ReadAsLeader(); });
-  const auto* leader = std::get_if<ConsensusDriver::LeaderView>(&view);
-  if (leader == nullptr) {
-    return {};
-  }
+Result<ControlService::ConfigurationProgress> ControlService::ProgressOf(
+    uint64_t version,
+    Duration bound) {
+  BOOST_LEAF_AUTO(view, m_driver->ReadAsLeader());
+  VersionTracker& versions = m_configuration_state.versions;
   std::scoped_lock lock(m_configuration_state.mutex);
-  return m_configuration_state.versions.PendingNodes(leader->now, version);
+  ConfigurationProgress progress;
+  progress.in_force = versions.InForceWithin(view.now, bound, version);
+  progress.pending = versions.PendingNodes(view.now, version);
+  return progress;
 }
 
 void ControlService::OnLeader(TimePoint now,
@@ -352,8 +354,10 @@
   const ConfigurationRecord& record = view.state->configuration;
   response.configuration_version = record.version;
   if (record.version != request.configuration_version) {
+    const uint64_t reference =
+        request.wants_whole_document ? 0 : request.configuration_version;
     BOOST_LEAF_ASSIGN(response.configuration,
-                      m_publisher.Pack(record, request.configuration_version));
+                      m_publisher.Pack(record, reference));
   }
   response.replicas = view.voters;
   return Done{};
--- a/src/programs/mesh/mesh_control.cc
+++ b/src/programs/mesh/mesh_control.cc
@@ -111,7 +111,8 @@
                          protocol,
                          m_service,
                          m_driver,
-                         m_clock),
+                         m_clock,
+                         settings.apply_limit),
         m_listener(
             m_runtime.context(),
             [this](const std::shared_ptr<FrameLink>& link, const Frame& frame) {
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -201,7 +201,12 @@
                 reply.response->replicas.end()};
   BOOST_LEAF_CHECK(m_view.ApplyEvacuations(*reply.response));
   m_backend_proxy.SetEvacuated(m_view.IsLocalEvacuated());
+  const uint64_t held = m_view.ConfigurationVersion();
   BOOST_LEAF_CHECK(m_view.ApplyPoll(sent, *reply.response));
+  if (m_view.ConfigurationVersion() != held) {
+    // The operator waits for the confirmation.
+    m_poll_requested = true;
+  }
   if (reply.response->departures_known) {
     m_backend_proxy.OnDeparturesStored(reply.response->departures);
   }
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -38,6 +38,12 @@
   return config_state;
 }
 
+uint64_t MeshView::ConfigurationVersion() const {
+  std::scoped_lock lock(m_mutex);
+  return m_control_state.config == nullptr ? 0
+                                           : m_control_state.config->version();
+}
+
 bool MeshView::IsReady() const {
   std::scoped_lock lock(m_mutex);
   return m_control_state.config != nullptr &&
@@ -56,8 +62,8 @@
     needs_whole_document = m_control_state.needs_whole_document;
   }
   if (config != nullptr) {
-    request.configuration_version =
-        needs_whole_document ? 0 : config->version();
+    request.configuration_version = config->version();
+    request.wants_whole_document = needs_whole_document;
     for (const auto& service : config->services()) {
       const std::string& name = service.first;
       const uint64_t revision = m_services.With(name, [&](ServiceShard& shard) {
--- a/src/programs/mesh/operator_call_handler.cc
+++ b/src/programs/mesh/operator_call_handler.cc
@@ -1,7 +1,11 @@
 #include "rosemarywinch/programs/mesh/operator_call_handler.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <utility>
@@ -19,6 +23,9 @@
 
 // Below the 1 s after which an operator's client tries another replica.
 constexpr Duration kCommitTimeout{900};
+// Leases also end without a notification, so that the nodes are looked at
+// again.
+constexpr std::chrono::milliseconds kInForceCheckInterval{40};
 constexpr int kUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kPreconditionFailed = 412;
@@ -105,17 +112,48 @@
   if (const auto* error = std::get_if<Error>(&outcome)) {
     co_return RespondOrRedirect(request, *error);
   }
-  const auto& result = std::get<CommandResult>(outcome);
-  const size_t pending = m_service.PendingNodes(change_version).size();
+  auto result = std::get<CommandResult>(outcome);
+  ControlService::ConfigurationProgress progress;
+  if (result.error == ErrorId::kNone) {
+    progress = co_await WaitInForce(change_version, begun + kCommitTimeout);
+  }
+  if (result.error == ErrorId::kNone && !progress.in_force) {
+    result.error = ErrorId::kNotAccepted;
+    result.detail = "stored, but not in force on all nodes yet";
+  }
   LogEvent(LogLevel::kInfo, "configuration_put",
            {{"version", version},
             {"result", std::string(NameOf(result.error))},
             {"in_place", std::to_string(result.version)},
             {"took_ms", std::to_string((m_clock.Now() - begun).ms)},
-            {"nodes_pending", std::to_string(pending)}});
+            {"nodes_pending", std::to_string(progress.pending.size())}});
   co_return MakeResponse({result.error, result.detail});
 }
 
+// Waits until no node can act on an older configuration than `version` after
+// the bound that holds from the acknowledgement on, and until `deadline` at
+// most.
+asio::awaitable<ControlService::ConfigurationProgress>
+OperatorCallHandler::WaitInForce(uint64_t version, TimePoint deadline) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (true) {
+    const auto read =
+        Capture([&] { return m_service.ProgressOf(version, m_apply_limit); });
+    if (std::holds_alternative<Error>(read)) {
+      co_return ControlService::ConfigurationProgress{};
+    }
+    const auto& progress =
+        std::get<ControlService::ConfigurationProgress>(read);
+    if (progress.in_force || m_clock.Now() >= deadline) {
+      co_return progress;
+    }
+    timer.expires_after(kInForceCheckInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
 // Errors: those of MeshConfig::Build().
 Result<FleetCommand> OperatorCallHandler::MakeChange(
     PutConfigurationCall& call) const {
--- a/tests/unit-configuration-in-force.cpp
+++ b/tests/unit-configuration-in-force.cpp
@@ -3,7 +3,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
-#include <chrono>
 #include <future>
 #include <thread>
 
@@ -20,6 +19,9 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+// Longer than the test, so that only confirmations put a version in force.
+constexpr Duration kLease{600'000};
 
 // The only replica of a cluster. Its nodes are played by the test.
 class Control {
@@ -94,7 +96,7 @@
   SystemClock m_clock;
   SystemRandom m_random;
   WireProtocol m_protocol;
-  ControlService m_service{{3'000}, QuotaTolerance{}, {}};
+  ControlService m_service{kLease, QuotaTolerance{}, {}};
   ConsensusDriver m_driver{Options(), m_clock,     m_random,
                            m_storage, m_transport, m_service};
   OperatorCallHandler m_handler{1, 1, m_protocol, m_service, m_driver, m_clock};
@@ -104,10 +106,6 @@
   std::thread m_thread{[this] { m_context.run(); }};
 };
 
-bool IsDone(const std::future<int>& answer) {
-  return answer.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
-}
-
 }  // namespace
 
 // Failure: a configuration was acknowledged while nodes acted on the one before
@@ -118,8 +116,17 @@
   BOOST_TEST(control.Poll("late", 4) == 4u);
   std::future<int> answer = control.BeginPut(6, 4);
   BOOST_REQUIRE(WaitUntil([&] { return control.Poll("quick", 6) == 6u; }));
-  BOOST_TEST(!IsDone(answer));
+  BOOST_TEST(answer.get() == kUnavailable);
   BOOST_TEST(control.Poll("late", 6) == 6u);
-  const int status = answer.get();
-  BOOST_TEST((status == kOk || control.Put(6, 4) == kOk));
+  BOOST_TEST(control.Put(6, 4) == kOk);
+}
+
+// A node that has started anew acts on no version until it is answered.
+BOOST_AUTO_TEST_CASE(a_node_without_a_configuration_delays_no_acknowledgement) {
+  Control control;
+  BOOST_TEST(control.Put(4, 0) == kOk);
+  control.Poll("node", 4);
+  BOOST_TEST(control.BeginPut(6, 4).get() == kUnavailable);
+  control.Poll("node", 0);
+  BOOST_TEST(control.Put(6, 4) == kOk);
 }
--- a/tests/unit-version-tracker.cpp
+++ b/tests/unit-version-tracker.cpp
@@ -48,6 +48,31 @@
   BOOST_TEST(tracker.InForce(now + LessorLeaseDuration(kLease)) == 5u);
 }
 
+// A node that is silent after a change stops acting on the former version when
+// its lease ends, which may be before the bound of the operator.
+BOOST_AUTO_TEST_CASE(a_version_is_due_when_the_leases_end_within_the_bound) {
+  constexpr Duration kBound{2'000};
+  VersionTracker tracker(kLease);
+  const TimePoint start{100'000};
+  tracker.Reset(start, 1);
+  const TimePoint now = start + LessorLeaseDuration(kLease);
+  tracker.OnPoll(now, "silent", 1);
+  tracker.OnApplied(now, 2);
+  const TimePoint due = now + LessorLeaseDuration(kLease) - kBound;
+  BOOST_TEST(!tracker.InForceWithin(due - Duration{1}, kBound, 2));
+  BOOST_TEST(tracker.InForceWithin(due, kBound, 2));
+  tracker.OnPoll(now, "silent", 2);
+  BOOST_TEST(tracker.InForceWithin(now, kBound, 2));
+}
+
+BOOST_AUTO_TEST_CASE(the_first_version_waits_for_no_leases) {
+  VersionTracker tracker(kLease);
+  const TimePoint now{100'000};
+  tracker.Reset(now, 0);
+  tracker.OnApplied(now, 1);
+  BOOST_TEST(tracker.InForce(now) == 1u);
+}
+
 // Nodes whose clocks drift by up to the allowed maximum act on a version only
 // under a lease. None may act on a version older than the one in force.
 BOOST_AUTO_TEST_CASE(no_node_acts_on_a_version_older_than_the_one_in_force) {
