Send entries once while a replica is busy with them

Callers saw refusals and late configurations after a large change, because the leader lost its term. Cause: each heartbeat carried all entries that a follower had not acknowledged, at 100 ms intervals, and each answer set off one more copy. A leader may serve for 400 ms after the last round that a quorum has acknowledged.

While a transfer is under way a follower gets empty heartbeats that claim nothing of its log. Links keep the order, so a transfer is lost if a later heartbeat is answered first; it is then sent again at once. As a voter that stores nothing now answers heartbeats, it counts as lost once it has stored nothing for the time after which a silent one does.

--- a/include/rosemarywinch/decisions/consensus/replica.h
+++ b/include/rosemarywinch/decisions/consensus/replica.h
@@ -149,6 +149,11 @@
     uint64_t match_index = 0;
     /// Send time of the latest round that the follower has acknowledged.
     TimePoint ack_time;
+    /// Round in which entries or a snapshot were sent that the follower hasn't
+    /// answered yet.
+    std::optional<uint64_t> transfer_round;
+    /// Since when the follower has stored nothing of what it was sent.
+    std::optional<TimePoint> stalled_since;
   };
   struct Follower {};
   struct Candidate {
@@ -187,6 +192,8 @@
   void SendJoinRequests();
   void BroadcastAppend(Leader& leader);
   void SendAppend(Leader& leader, Progress& follower);
+  void SendHeartbeat(const Leader& leader, const Progress& follower);
+  void BeginTransfer(const Leader& leader, Progress& follower);
   void AdvanceCommit(Leader& leader);
   void CommitUpTo(uint64_t index);
   void AdmitIfCaughtUp(Leader& leader, const ReplicaRef& learner);
--- a/src/decisions/consensus/replica.cc
+++ b/src/decisions/consensus/replica.cc
@@ -226,12 +226,24 @@
   }
   if (!body.success) {
     follower.next_index = std::max<uint64_t>(1, body.match_index + 1);
+    follower.transfer_round.reset();
     SendAppend(*leader, follower);
     return;
   }
-  follower.match_index = std::max(follower.match_index, body.match_index);
+  if (body.match_index > follower.match_index) {
+    follower.match_index = body.match_index;
+    follower.transfer_round.reset();
+    follower.stalled_since.reset();
+  }
+  // Messages arrive in order, so that a transfer is lost if a later heartbeat
+  // is answered first.
+  if (follower.transfer_round && body.round > *follower.transfer_round) {
+    follower.transfer_round.reset();
+  }
   follower.next_index = follower.match_index + 1;
-  if (follower.next_index <= m_log.LastIndex()) {
+  if (follower.next_index > m_log.LastIndex()) {
+    follower.stalled_since.reset();
+  } else if (!follower.transfer_round) {
     SendAppend(*leader, follower);
   }
   AdvanceCommit(*leader);
@@ -359,7 +371,17 @@
   }
 }
 
+// While a transfer is under way, only a heartbeat is sent: a follower that is
+// busy with large entries would otherwise get them again with each one.
 void Replica::SendAppend(Leader& leader, Progress& follower) {
+  const bool behind = follower.next_index <= m_log.LastIndex();
+  if (behind && follower.transfer_round) {
+    SendHeartbeat(leader, follower);
+    return;
+  }
+  if (behind) {
+    BeginTransfer(leader, follower);
+  }
   if (follower.next_index < m_log.FirstIndex()) {
     Send(follower.replica_id, SnapshotRequest{m_log.snapshot(), leader.round});
     return;
@@ -375,6 +397,21 @@
   Send(follower.replica_id, std::move(request));
 }
 
+// Claims nothing of the follower's log.
+void Replica::SendHeartbeat(const Leader& leader, const Progress& follower) {
+  AppendRequest request;
+  request.commit_index = m_commit_index;
+  request.round = leader.round;
+  Send(follower.replica_id, std::move(request));
+}
+
+void Replica::BeginTransfer(const Leader& leader, Progress& follower) {
+  follower.transfer_round = leader.round;
+  if (!follower.stalled_since) {
+    follower.stalled_since = m_now;
+  }
+}
+
 void Replica::AppendAsLeader(LogEntry entry) {
   m_log.Append(entry);
   m_effects.push_back(AppendEntries{{std::move(entry)}});
--- a/src/decisions/consensus/replica_membership.cc
+++ b/src/decisions/consensus/replica_membership.cc
@@ -97,9 +97,13 @@
     return false;
   }
   const auto found = leader.followers.find(voter.instance);
-  const TimePoint last_ack =
-      found == leader.followers.end() ? leader.since : found->second.ack_time;
-  return m_now >= last_ack + m_options.voter_timeout;
+  if (found == leader.followers.end()) {
+    return m_now >= leader.since + m_options.voter_timeout;
+  }
+  const Progress& progress = found->second;
+  const TimePoint stalled = progress.stalled_since.value_or(m_now);
+  return m_now >=
+         std::min(progress.ack_time, stalled) + m_options.voter_timeout;
 }
 
 bool Replica::HasRoomForVoter(const Leader& leader) const {
--- a/tests/unit-consensus.cpp
+++ b/tests/unit-consensus.cpp
@@ -116,8 +116,14 @@
   Host& At(uint32_t id) { return m_hosts[id]; }
 
   TimePoint now{1'000'000};
+  // Number of messages with entries or a snapshot, by receiver.
+  std::map<uint32_t, int> transfers;
   uint32_t loss_percent = 0;
+  // Messages arrive in the order in which they were sent, as over a link.
+  bool in_order = false;
   std::set<uint32_t> paused;
+  // Replicas that lose every message that has something to store.
+  std::set<uint32_t> full_disks;
 
  private:
   struct InFlightMessage {
@@ -138,7 +144,9 @@
       Host& host = m_hosts[to];
       const bool cut =
           m_cut.contains(to) || m_cut.contains(sent.message.from.replica_id);
-      if (host.running && !cut) {
+      const bool unstored =
+          full_disks.contains(to) && IsTransfer(sent.message) != 0;
+      if (host.running && !cut && !unstored) {
         ApplyEffects(to, host.replica->Receive(now, sent.message));
       }
     }
@@ -167,8 +175,10 @@
                 host.disk.entries = e.entries_after;
               },
               [&](const consensus::SendMessage& e) {
+                transfers[e.message.to_replica] += IsTransfer(e.message);
                 if (m_random.Below(100) >= loss_percent) {
-                  const auto delay = static_cast<int64_t>(m_random.Below(30));
+                  const auto delay =
+                      in_order ? 0 : static_cast<int64_t>(m_random.Below(30));
                   m_in_flight.push_back({now + Duration{delay}, e.message});
                 }
               },
@@ -182,6 +192,12 @@
     }
   }
 
+  static int IsTransfer(const PeerMessage& message) {
+    const auto* append = std::get_if<AppendRequest>(&message.body);
+    const bool entries = append != nullptr && !append->entries.empty();
+    return entries || std::holds_alternative<SnapshotRequest>(message.body);
+  }
+
   // Checks that no two replicas apply different commands at the same index.
   void CheckAppliedCommand(uint64_t index, const FleetCommand& command) {
     const auto [entry, added] = m_applied.try_emplace(index, command);
@@ -436,6 +452,56 @@
   BOOST_TEST(cluster.Has(cluster.Leader(), "a"));
 }
 
+// Failure: with each heartbeat the leader sent a large configuration again to
+// replicas that were still busy with it, so that their acknowledgements came
+// too late and it lost its term.
+BOOST_AUTO_TEST_CASE(entries_are_not_sent_again_while_a_replica_is_busy) {
+  Cluster cluster(3, 12);
+  cluster.Run({5000});
+  const uint32_t leader = cluster.Leader();
+  const uint32_t busy = leader == 1 ? 2 : 1;
+  cluster.in_order = true;
+  cluster.paused.insert(busy);
+  cluster.transfers.clear();
+  BOOST_REQUIRE(cluster.Propose(leader, "a"));
+  cluster.Run({900});
+  BOOST_TEST(cluster.transfers[busy] == 1);
+  cluster.paused.clear();
+  cluster.Run({500});
+  BOOST_TEST(cluster.Has(busy, "a"));
+  BOOST_TEST(cluster.transfers[busy] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_were_lost_are_sent_again) {
+  Cluster cluster(3, 13);
+  cluster.Run({5000});
+  const uint32_t leader = cluster.Leader();
+  const uint32_t cut = leader == 1 ? 2 : 1;
+  cluster.Cut(cut);
+  BOOST_REQUIRE(cluster.Propose(leader, "a"));
+  cluster.Run({200});
+  cluster.Reconnect(cut);
+  cluster.Run({2000});
+  BOOST_TEST(cluster.Has(cut, "a"));
+}
+
+// A voter whose disk takes nothing answers heartbeats and stores no entry.
+BOOST_AUTO_TEST_CASE(a_voter_that_stores_nothing_is_replaced) {
+  Cluster cluster(3, 15, JoinThrough(2));
+  cluster.Run({5000});
+  const uint32_t leader = cluster.Leader();
+  const uint32_t full = leader == 3 ? 1 : 3;
+  cluster.Start(4);
+  cluster.Run({3000});
+  cluster.full_disks.insert(full);
+  BOOST_REQUIRE(cluster.Propose(leader, "a"));
+  cluster.Run({8000});
+  BOOST_TEST(!IsVoter(cluster, cluster.Leader(), full));
+  cluster.full_disks.clear();
+  cluster.Run({8000});
+  BOOST_TEST(cluster.Has(full, "a"));
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_may_not_bootstrap_creates_no_cluster) {
   Cluster cluster(1, 5, [](uint32_t, Replica::Options& options) {
     options.may_bootstrap = false;
