Let a voter that was replaced while it was silent join again

A voter that is silent for 3 s (cut off, or its disk full) is replaced by a spare. If the leader changes in the meantime, the next one doesn't know it; it counts itself as a voter, so it never asks to join, and its pre-votes are ignored by replicas that hear a leader. A voter that campaigns now also asks to join.

a_replaced_voter_joins_again_under_the_next_leader failed before: 8 s after it was reachable again it had not got the change.

--- a/src/decisions/consensus/replica.cc
+++ b/src/decisions/consensus/replica.cc
@@ -45,6 +45,8 @@
     TickJoiner();
   } else if (now >= m_election_due) {
     StartCampaign(/*pre_vote=*/true);
+    // The others may have replaced this voter while it was silent.
+    SendJoinRequests();
   }
   return TakeEffects();
 }
--- a/tests/unit-consensus.cpp
+++ b/tests/unit-consensus.cpp
@@ -485,6 +485,26 @@
   BOOST_TEST(cluster.Has(cut, "a"));
 }
 
+// Failure: a voter that was replaced while it was silent, and that the next
+// leader did not know, counted itself as a voter and never came back.
+BOOST_AUTO_TEST_CASE(a_replaced_voter_joins_again_under_the_next_leader) {
+  Cluster cluster(3, 14, JoinThrough(2));
+  cluster.Run({5000});
+  const uint32_t first = cluster.Leader();
+  const uint32_t silent = first == 3 ? 1 : 3;
+  cluster.Cut(silent);
+  cluster.Start(4);
+  cluster.Run({12'000});
+  BOOST_REQUIRE(!IsVoter(cluster, cluster.Leader(), silent));
+  cluster.Kill(cluster.Leader());
+  cluster.Run({5000});
+  BOOST_REQUIRE_NE(cluster.Leader(), 0u);
+  cluster.Reconnect(silent);
+  BOOST_REQUIRE(cluster.Propose(cluster.Leader(), "a"));
+  cluster.Run({8000});
+  BOOST_TEST(cluster.Has(silent, "a"));
+}
+
 // A voter whose disk takes nothing answers heartbeats and stores no entry.
 BOOST_AUTO_TEST_CASE(a_voter_that_stores_nothing_is_replaced) {
   Cluster cluster(3, 15, JoinThrough(2));
