--- a/include/rosemarywinch/adapters/json_codec.h
+++ b/include/rosemarywinch/adapters/json_codec.h
@@ -153,9 +153,10 @@
       [&](T& message) { detail::DecodeFields(json, message); });
 }
 
-/// Parses text as JSON of at most kMaxNesting levels and kMaxValues values.
-/// Errors: kMalformedMessage.
-Result<Json> ParseJson(std::string_view text);
+/// Parses text as JSON of at most kMaxNesting levels and kMaxValues values. The
+/// member `skipped` of the outermost object is read and left out; an empty name
+/// stands for none. Errors: kMalformedMessage.
+Result<Json> ParseJson(std::string_view text, std::string_view skipped = {});
 
 /// Parses CBOR as ToBinary() writes it, within the limits of ParseJson().
 /// Errors: kMalformedMessage.
--- a/include/rosemarywinch/adapters/mesh_codec.h
+++ b/include/rosemarywinch/adapters/mesh_codec.h
@@ -13,6 +13,12 @@
 Result<std::shared_ptr<const MeshConfig>> ParseMeshConfig(
     const std::string& document);
 
+/// Parses the parts of an accepted configuration document that control needs
+/// itself: all but the routes, which make up most of a large one.
+/// Errors: kMalformedMessage.
+Result<std::shared_ptr<const Configuration>> ParseWithoutRoutes(
+    const std::string& document);
+
 }  // namespace rosemarywinch
 
 #endif  // ROSEMARYWINCH_ADAPTERS_MESH_CODEC_H_
--- a/include/rosemarywinch/programs/configuration_reader.h
+++ b/include/rosemarywinch/programs/configuration_reader.h
@@ -19,8 +19,8 @@
 /// no thread that serves peers or nodes may do it. Thread-safe.
 class ConfigurationReader {
  public:
-  /// Reads a document. Errors: those of ParseMeshConfig().
-  using Parser = std::function<Result<std::shared_ptr<const MeshConfig>>(
+  /// Reads a document. Errors: those of ParseWithoutRoutes().
+  using Parser = std::function<Result<std::shared_ptr<const Configuration>>(
       const std::string& document)>;
 
   explicit ConfigurationReader(Parser parser);
@@ -33,18 +33,18 @@
   void Read(const ConfigurationRecord& record);
 
   /// Returns the configuration that was read last, null before the first.
-  std::shared_ptr<const MeshConfig> Current() const;
+  std::shared_ptr<const Configuration> Current() const;
 
  private:
   void Loop();
   void Publish(uint64_t version,
-               const Outcome<std::shared_ptr<const MeshConfig>>& read);
+               const Outcome<std::shared_ptr<const Configuration>>& read);
 
   const Parser m_parser;
   mutable std::mutex m_mutex;
   std::condition_variable m_changed;
   std::optional<ConfigurationRecord> m_next;
-  std::shared_ptr<const MeshConfig> m_current;
+  std::shared_ptr<const Configuration> m_current;
   bool m_stopping = false;
   std::thread m_thread;
 };
--- a/include/rosemarywinch/programs/control_service.h
+++ b/include/rosemarywinch/programs/control_service.h
@@ -32,10 +32,11 @@
  public:
   /// `data_centres` lists all data centres; if empty, those of the nodes that
   /// poll count.
-  explicit ControlService(Duration node_lease,
-                          QuotaTolerance tolerance = {},
-                          std::vector<std::string> data_centres = {},
-                          ConfigurationReader::Parser parser = ParseMeshConfig);
+  explicit ControlService(
+      Duration node_lease,
+      QuotaTolerance tolerance = {},
+      std::vector<std::string> data_centres = {},
+      ConfigurationReader::Parser parser = ParseWithoutRoutes);
 
   /// Sets the consensus driver. Must be called before the first request.
   void Attach(ConsensusDriver& driver) { m_driver = &driver; }
--- a/src/programs/configuration_reader.cc
+++ b/src/programs/configuration_reader.cc
@@ -27,7 +27,7 @@
   m_changed.notify_all();
 }
 
-std::shared_ptr<const MeshConfig> ConfigurationReader::Current() const {
+std::shared_ptr<const Configuration> ConfigurationReader::Current() const {
   std::scoped_lock lock(m_mutex);
   return m_current;
 }
@@ -50,14 +50,14 @@
 // Requires m_mutex to be held.
 void ConfigurationReader::Publish(
     uint64_t version,
-    const Outcome<std::shared_ptr<const MeshConfig>>& read) {
+    const Outcome<std::shared_ptr<const Configuration>>& read) {
   if (const auto* error = std::get_if<Error>(&read)) {
     LogEvent(
         LogLevel::kError, "configuration_unreadable",
         {{"version", std::to_string(version)}, {"error", error->Message()}});
     return;
   }
-  m_current = std::get<std::shared_ptr<const MeshConfig>>(read);
+  m_current = std::get<std::shared_ptr<const Configuration>>(read);
 }
 
 }  // namespace rosemarywinch
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -368,13 +368,14 @@
 std::optional<RateLimit> ControlService::LimitOf(
     const FleetState& state,
     const std::string& account) const {
-  const std::shared_ptr<const MeshConfig> config = m_reader.Current();
-  const AccountSpec* spec =
-      config == nullptr ? nullptr : config->FindAccount(account);
-  if (spec != nullptr) {
-    return RateLimit{spec->rate, spec->burst};
+  const std::shared_ptr<const Configuration> config = m_reader.Current();
+  if (config != nullptr) {
+    const auto found = config->accounts.find(account);
+    if (found != config->accounts.end()) {
+      return RateLimit{found->second.rate, found->second.burst};
+    }
   }
-  const uint64_t read = config == nullptr ? 0 : config->version();
+  const uint64_t read = config == nullptr ? 0 : config->version;
   if (read != state.configuration.version) {
     return std::nullopt;
   }
--- a/tests/unit-control-service.cpp
+++ b/tests/unit-control-service.cpp
@@ -19,7 +19,8 @@
 // A leader that is the only replica.
 class LeaderFixture {
  public:
-  explicit LeaderFixture(ConfigurationReader::Parser parser = ParseMeshConfig)
+  explicit LeaderFixture(
+      ConfigurationReader::Parser parser = ParseWithoutRoutes)
       : m_parser(std::move(parser)) {
     m_service.Attach(m_driver);
     BOOST_REQUIRE(m_driver.Start());
@@ -145,7 +146,7 @@
   const std::shared_future<void> released = release.get_future().share();
   LeaderFixture leader([released](const std::string& document) {
     released.wait();
-    return ParseMeshConfig(document);
+    return ParseWithoutRoutes(document);
   });
   leader.PutConfiguration(4, test::ConfigurationText(4, 0, "k"));
   PollRequest request = RequestOf("n1");
--- a/tests/unit-json-codec.cpp
+++ b/tests/unit-json-codec.cpp
@@ -59,6 +59,19 @@
   BOOST_TEST(holds);
 }
 
+BOOST_AUTO_TEST_CASE(a_member_can_be_left_out) {
+  const std::string text =
+      R"({"a":1,"b":{"b":[1,{"a":2}]},"c":{"b":[3]},"d":[{"b":4}]})";
+  const Json whole = Json::parse(text);
+  Json expected = whole;
+  expected.erase("b");
+  BOOST_TEST((ParseJson(text).value() == whole));
+  BOOST_TEST((ParseJson(text, "b").value() == expected));
+  BOOST_TEST(
+      (ParseJson(R"([{"b":1}])", "b").value() == Json::parse(R"([{"b":1}])")));
+  BOOST_TEST((ParseJson(R"({"b":7,"c":8})", "b").value() == Json{{"c", 8}}));
+}
+
 BOOST_AUTO_TEST_CASE(json_and_cbor_hold_the_same_values) {
   const bool holds = rc::check([](uint64_t number, int64_t ms, double load) {
     PollRequest request;
