Cache packed configurations of the newest version only

Nodes could get the former document under the number of the new version: a poll whose thread had read its view before the change packed it after the cache had been cleared. The node then took it over, got no lease with it and asked again, so that a change came one poll (0.5 s) later. a_late_thread_leaves_no_older_document_behind failed before.

--- a/include/rosemarywinch/programs/configuration_publisher.h
+++ b/include/rosemarywinch/programs/configuration_publisher.h
@@ -23,11 +23,12 @@
 
  private:
   void Remember(const ConfigurationRecord& record);
+  bool IsNewest(const ConfigurationRecord& record) const;
 
   std::mutex m_mutex;
   /// The latest documents by version.
   std::map<uint64_t, std::string> m_documents;
-  /// The current document, by the version of its reference.
+  /// The newest document, by the version of its reference.
   std::map<uint64_t, PackedDocument> m_packed;
 };
 
--- a/src/programs/configuration_publisher.cc
+++ b/src/programs/configuration_publisher.cc
@@ -22,7 +22,7 @@
   const auto reference = m_documents.find(held_version);
   const uint64_t base = reference == m_documents.end() ? 0 : held_version;
   const auto known = m_packed.find(base);
-  if (known != m_packed.end()) {
+  if (known != m_packed.end() && IsNewest(record)) {
     return known->second;
   }
   PackedDocument packed;
@@ -31,10 +31,18 @@
   BOOST_LEAF_ASSIGN(packed.data,
                     rosemarywinch::Pack(record.document,
                                         base == 0 ? none : reference->second));
-  m_packed[base] = packed;
+  if (IsNewest(record)) {
+    m_packed[base] = packed;
+  }
   return packed;
 }
 
+// A thread may have read its view before a change that others know already.
+// Requires m_mutex to be held.
+bool ConfigurationPublisher::IsNewest(const ConfigurationRecord& record) const {
+  return !m_documents.empty() && record.version == m_documents.rbegin()->first;
+}
+
 // Requires m_mutex to be held.
 void ConfigurationPublisher::Remember(const ConfigurationRecord& record) {
   const auto added = m_documents.try_emplace(record.version, record.document);
--- a/tests/unit-text-packer.cpp
+++ b/tests/unit-text-packer.cpp
@@ -114,3 +114,17 @@
   BOOST_TEST(packed.reference_version == 0u);
   BOOST_TEST(std::get<std::string>(Restored(packed.data, "")) == Document(6));
 }
+
+// Failure: a thread that had read its view before a change filled the cache
+// with the former document, which nodes then got under the number of the new
+// one.
+BOOST_AUTO_TEST_CASE(a_late_thread_leaves_no_older_document_behind) {
+  ConfigurationPublisher publisher;
+  Published(publisher, 4, 0);
+  Published(publisher, 5, 4);
+  Published(publisher, 6, 5);
+  Published(publisher, 5, 4);
+  const PackedDocument packed = Published(publisher, 6, 4);
+  BOOST_TEST((std::get<std::string>(Restored(packed.data, Document(4))) ==
+              Document(6)));
+}
