Confirm a version of the fleet only with its configuration

A node took over the fleet's version of a reply also where the configuration that came was not the one that the reply named, and so confirmed to control what it did not act on: the command line told operators that a change was in force. a_node_confirms_only_what_it_acts_on failed before (11 reported, 10 held).

--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -179,11 +179,13 @@
   }
   m_control_state.cluster = response.cluster;
   m_control_state.term = response.term;
-  m_control_state.fleet_version = response.config_version;
-  const bool current =
-      m_control_state.config != nullptr &&
-      m_control_state.config->version() == response.configuration_version;
+  const uint64_t held =
+      m_control_state.config == nullptr ? 0 : m_control_state.config->version();
+  const bool current = held == response.configuration_version;
   if (current) {
+    m_control_state.fleet_version = response.config_version;
+  }
+  if (current && held > 0) {
     m_control_state.lease_end =
         std::max(m_control_state.lease_end, sent + response.lease);
     m_control_state.confirmed = std::max(m_control_state.confirmed, sent);
--- a/tests/unit-configuration-in-force.cpp
+++ b/tests/unit-configuration-in-force.cpp
@@ -7,6 +7,8 @@
 #include <thread>
 
 #include "platform/wire_protocol.h"
+#include "rosemarywinch/adapters/text_packer.h"
+#include "rosemarywinch/programs/mesh/mesh_view.h"
 #include "rosemarywinch/programs/mesh/operator_call_handler.h"
 #include "support/fakes.h"
 #include "support/mesh.h"
@@ -130,3 +132,25 @@
   control.Poll("node", 0);
   BOOST_TEST(control.Put(6, 4) == kOk);
 }
+
+// Failure: a node told control that it had reached a version of the fleet's
+// state whose configuration it did not act on.
+BOOST_AUTO_TEST_CASE(a_node_confirms_only_what_it_acts_on) {
+  test::FakeClock clock;
+  test::SeededRandom random(1);
+  MeshView view("dc", clock, random);
+  PollResponse response;
+  response.lease = {3'000};
+  response.config_version = 10;
+  response.configuration_version = 4;
+  response.configuration =
+      PackedDocument{0, *Pack(ConfigurationText(4, 0, "k"), "")};
+  BOOST_REQUIRE(view.ApplyPoll(clock.now, response));
+  response.config_version = 11;
+  response.configuration_version = 6;
+  BOOST_REQUIRE(view.ApplyPoll(clock.now, response));
+  PollRequest request;
+  view.FillPoll(request);
+  BOOST_TEST(request.configuration_version == 4u);
+  BOOST_TEST(request.config_version == 10u);
+}
