Ask the replica that is named as leader next

A node that had lost its leader asked all replicas in a fixed order, 500 ms for each that is silent, and used the leader that a live one named only in the next round; with three silent replicas a round took longer than the 2 s within which a change has to be in force. The order is a decision of its own now and follows the first name. the_named_leader_is_asked_next: the old order would have been 1, 2, 3, 4.

--- a/include/rosemarywinch/programs/mesh/mesh_poller.h
+++ b/include/rosemarywinch/programs/mesh/mesh_poller.h
@@ -11,6 +11,7 @@
 
 #include "rosemarywinch/adapters/async/link_client.h"
 #include "rosemarywinch/adapters/metrics.h"
+#include "rosemarywinch/decisions/control/replica_search.h"
 #include "rosemarywinch/interfaces/clock.h"
 #include "rosemarywinch/programs/mesh/backend_proxy.h"
 #include "rosemarywinch/programs/mesh/mesh_view.h"
@@ -65,7 +66,7 @@
   PollRequest MakeRequest();
   PollRequest MakeTokenRequest();
   uint32_t Leader();
-  std::vector<uint32_t> CandidateReplicas();
+  ReplicaSearch BeginSearch();
   void LogReachability(bool reachable, const std::string& reason);
 
   const Options m_options;
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -86,17 +86,11 @@
   return m_leader;
 }
 
-std::vector<uint32_t> MeshPoller::CandidateReplicas() {
+ReplicaSearch MeshPoller::BeginSearch() {
   std::scoped_lock lock(m_mutex);
-  std::vector<uint32_t> candidates;
-  if (m_leader != 0) {
-    candidates.push_back(m_leader);
-  }
   std::set<uint32_t> others = m_replicas;
   others.insert(m_seeds.begin(), m_seeds.end());
-  others.erase(m_leader);
-  candidates.insert(candidates.end(), others.begin(), others.end());
-  return candidates;
+  return {m_leader, others};
 }
 
 asio::awaitable<void> MeshPoller::PollLoop() {
@@ -136,10 +130,12 @@
 }
 
 asio::awaitable<bool> MeshPoller::PollAnyReplica() {
-  for (const uint32_t replica : CandidateReplicas()) {
-    if (co_await PollOnce(replica, MakeRequest())) {
+  ReplicaSearch search = BeginSearch();
+  while (const auto replica = search.Next()) {
+    if (co_await PollOnce(*replica, MakeRequest())) {
       co_return true;
     }
+    search.OnNamed(Leader());
   }
   co_return false;
 }
