Break off answers without end on the product's own interface

A faulty backend server that sends a head, a body or interim answers without end made the node that had called it keep them all, until it ran out of memory and the requests of others ended with it. Cause: CurlChannel kept what libcurl delivered, without a limit.

--- a/include/rosemarywinch/adapters/async/backend_channel.h
+++ b/include/rosemarywinch/adapters/async/backend_channel.h
@@ -12,7 +12,7 @@
 
 #include "rosemarywinch/adapters/async/cancellation_token.h"
 #include "rosemarywinch/adapters/async/net.h"
-#include "rosemarywinch/decisions/traffic/response_budget.h"
+#include "rosemarywinch/adapters/shared_response_budget.h"
 #include "rosemarywinch/interfaces/backend_server.h"
 
 namespace rosemarywinch {
@@ -57,14 +57,7 @@
     /// The connection may serve further requests.
     bool keep_alive = false;
   };
-  /// Outlives the channel while a response is being read.
-  struct SharedBudget {
-    explicit SharedBudget(uint64_t max_bytes) : budget(max_bytes) {}
-    std::mutex mutex;
-    ResponseBudget budget;
-  };
   class Attempt;
-  class BudgetShare;
 
   /// Reads one response. Returns nothing if it breaks off, is malformed or
   /// exceeds the memory for responses.
@@ -79,7 +72,8 @@
   const std::string m_address;
   std::mutex m_mutex;
   std::vector<std::unique_ptr<Connection>> m_idle;
-  const std::shared_ptr<SharedBudget> m_budget;
+  const std::shared_ptr<SharedResponseBudget> m_budget =
+      std::make_shared<SharedResponseBudget>();
 };
 
 }  // namespace rosemarywinch
--- a/include/rosemarywinch/adapters/curl_channel.h
+++ b/include/rosemarywinch/adapters/curl_channel.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "rosemarywinch/adapters/shared_response_budget.h"
 #include "rosemarywinch/core/sharded.h"
 #include "rosemarywinch/interfaces/http.h"
 
@@ -13,6 +14,8 @@
 
 /// HTTP client on libcurl. Handles, and with them connections, are pooled by
 /// address; a handle serves one request at a time.
+/// The memory of unfinished responses is bounded; one without end is broken
+/// off.
 class CurlChannel : public HttpChannel {
  public:
   CurlChannel();
@@ -35,6 +38,8 @@
   void ReleaseHandle(const std::string& address, Handle handle);
 
   Sharded<Pool> m_pools;
+  const std::shared_ptr<SharedResponseBudget> m_budget =
+      std::make_shared<SharedResponseBudget>();
 };
 
 }  // namespace rosemarywinch
--- a/src/adapters/async/backend_channel.cc
+++ b/src/adapters/async/backend_channel.cc
@@ -34,10 +34,6 @@
 constexpr Duration kKeepAliveMargin{1'000};
 // Responses to earlier requests that are skipped before an attempt fails.
 constexpr int kMaxStaleResponses = 3;
-constexpr uint64_t kMaxResponseBytes = 16'777'216;
-constexpr uint32_t kMaxHeaderBytes = 65'536;
-// For the responses that are being read at the same time.
-constexpr uint64_t kMaxUnfinishedBytes = 33'554'432;
 // Received and not parsed yet, such as the header of a chunk that does not end.
 constexpr size_t kMaxUnparsedBytes = 262'144;
 
@@ -126,34 +122,8 @@
   const CancellationCallback m_on_cancel;
 };
 
-/// The part of the budget that one response holds.
-class BackendChannel::BudgetShare {
- public:
-  explicit BudgetShare(std::shared_ptr<SharedBudget> shared)
-      : m_shared(std::move(shared)) {
-    std::scoped_lock lock(m_shared->mutex);
-    m_id = m_shared->budget.Begin();
-  }
-  ~BudgetShare() {
-    std::scoped_lock lock(m_shared->mutex);
-    m_shared->budget.End(m_id);
-  }
-  BudgetShare(const BudgetShare&) = delete;
-  BudgetShare& operator=(const BudgetShare&) = delete;
-
-  bool Grow(uint64_t bytes) {
-    std::scoped_lock lock(m_shared->mutex);
-    return m_shared->budget.Grow(m_id, bytes);
-  }
-
- private:
-  const std::shared_ptr<SharedBudget> m_shared;
-  uint64_t m_id = 0;
-};
-
 BackendChannel::BackendChannel(std::string address)
-    : m_address(std::move(address)),
-      m_budget(std::make_shared<SharedBudget>(kMaxUnfinishedBytes)) {}
+    : m_address(std::move(address)) {}
 
 asio::awaitable<BackendResult> BackendChannel::Send(
     HttpRequest request,
@@ -214,10 +184,10 @@
                              bool without_body) {
   http::response_parser<http::string_body> parser;
   parser.eager(true);
-  parser.body_limit(kMaxResponseBytes);
-  parser.header_limit(kMaxHeaderBytes);
+  parser.body_limit(SharedResponseBudget::kMaxBodyBytes);
+  parser.header_limit(SharedResponseBudget::kMaxHeadBytes);
   parser.skip(without_body);
-  BudgetShare share(m_budget);
+  SharedResponseBudget::Share share(m_budget);
   while (!parser.is_done()) {
     error_code error;
     co_await http::async_read_some(
--- a/src/adapters/curl_channel.cc
+++ b/src/adapters/curl_channel.cc
@@ -36,13 +36,37 @@
 // A response as far as it has arrived. libcurl reports success when a
 // connection ends within the head of a response.
 struct PartialResponse {
+  explicit PartialResponse(const std::shared_ptr<SharedResponseBudget>& shared)
+      : share(shared) {}
+
+  // Returns whether `bytes` more of the body may be kept.
+  bool TakeBody(uint64_t bytes) {
+    const uint64_t held = response.body.size() + bytes;
+    return held <= SharedResponseBudget::kMaxBodyBytes && share.Grow(held);
+  }
+
+  // Returns whether a line of `bytes` more in a head or a trailer may be kept.
+  bool TakeLine(uint64_t bytes) {
+    head_bytes += bytes;
+    return head_bytes <= SharedResponseBudget::kMaxHeadBytes;
+  }
+
   HttpResponse response;
   bool head_complete = false;
+  // Of all heads, the interim ones included, and of the trailer.
+  uint64_t head_bytes = 0;
+  SharedResponseBudget::Share share;
 };
 
-size_t OnBody(char* data, size_t size, size_t count, void* partial) {
-  static_cast<PartialResponse*>(partial)->response.body.append(data,
-                                                               size * count);
+// Makes libcurl give a response up when a callback returns it.
+constexpr size_t kTakeNoMore = 0;
+
+size_t OnBody(char* data, size_t size, size_t count, void* target) {
+  auto& partial = *static_cast<PartialResponse*>(target);
+  if (!partial.TakeBody(size * count)) {
+    return kTakeNoMore;
+  }
+  partial.response.body.append(data, size * count);
   return size * count;
 }
 
@@ -59,8 +83,12 @@
   auto& partial = *static_cast<PartialResponse*>(target);
   const std::string_view line(data, size * count);
   const size_t colon = line.find(':');
+  if (!partial.TakeLine(line.size())) {
+    return kTakeNoMore;
+  }
   if (line.starts_with(kStatusLine)) {
-    partial = {};
+    partial.response = {};
+    partial.head_complete = false;
   } else if (line == "\r\n" || line == "\n") {
     partial.head_complete = true;
   } else if (colon != std::string_view::npos) {
@@ -171,7 +199,7 @@
     url += "?" + request.query;
   }
   const HeaderList headers = MakeHeaders(request);
-  PartialResponse partial;
+  PartialResponse partial(m_budget);
   curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
   curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
--- a/tests/unit-curl-channel.cpp
+++ b/tests/unit-curl-channel.cpp
@@ -71,6 +71,31 @@
   return channel.Send(peer.Address(), request, {});
 }
 
+// More than a process may keep of one answer, with what sockets hold.
+constexpr uint64_t kMaxTaken = 24'000'000;
+// So much is offered of an answer without end.
+constexpr uint64_t kOffered = 64'000'000;
+
+// Returns how many bytes a peer can send that begins with `head` and repeats
+// `block`; the request must fail.
+uint64_t BytesTaken(const std::string& head, const std::string& block) {
+  std::atomic<uint64_t> bytes = 0;
+  {
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(head);
+      while (bytes < kOffered && connection.Write(block)) {
+        bytes += block.size();
+      }
+    });
+    CurlChannel channel;
+    const HttpResult result = channel.Send(
+        peer.Address(), HttpRequestBuilder("GET", "/").Build(), {});
+    BOOST_TEST(std::holds_alternative<ResponseLost>(result));
+  }
+  return bytes;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(a_whole_answer_is_returned) {
@@ -159,3 +184,18 @@
   }
   BOOST_TEST(peer.connections() == 1);
 }
+
+// Failure: a faulty backend server sent bytes without end, and the process that
+// had called it kept them all and ran out of memory.
+BOOST_AUTO_TEST_CASE(an_answer_without_end_is_broken_off) {
+  const std::string block(65'536, 'x');
+  const std::string line = "X-Line: " + std::string(1'000, 'x') + "\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  BOOST_TEST(BytesTaken(ok + "\r\n", block) < kMaxTaken);
+  BOOST_TEST(BytesTaken(ok + "Content-Length: 900000000000\r\n\r\n", block) <
+             kMaxTaken);
+  BOOST_TEST(BytesTaken(ok, line) < kMaxTaken);
+  BOOST_TEST(BytesTaken("", ok + line + "\r\n") < kMaxTaken);
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  BOOST_TEST(BytesTaken(chunked + "0\r\n", line) < kMaxTaken);
+}
