Sync the log that a replica recovers, and rewrite it after a failed write

A configuration that had been acknowledged could be gone or older after a loss of power, and a replica could stay out for good: (1) an entry that was written but not synced when its process ended counted as stored after the start; (2) after a failed sync the kernel may take the pages for clean; (3) a full disk may leave half a record whose removal fails as well, and the next entries stand behind it, out of reach of the next recovery, which then fails each time.

Recovery now syncs the log before anything relies on it, and writes it anew after a failed write.

--- a/include/rosemarywinch/adapters/file_storage.h
+++ b/include/rosemarywinch/adapters/file_storage.h
@@ -33,6 +33,7 @@
  private:
   std::string PathOf(const char* name) const;
   Result<Done> OpenLog();
+  Result<Done> SyncLog() const;
   Result<Done> ReplaceFile(const char* name, const std::string& bytes) const;
   Result<Done> RewriteLog(const std::vector<LogEntry>& entries);
   Result<Done> WriteSyncedIndex(uint64_t index);
@@ -41,6 +42,8 @@
 
   const std::string m_folder;
   int m_log_fd = -1;
+  /// A write failed, so that what can be read of the log may not be stored.
+  bool m_log_suspect = false;
   int m_synced_fd = -1;
 };
 
--- a/src/adapters/file_storage.cc
+++ b/src/adapters/file_storage.cc
@@ -174,7 +174,13 @@
   if (recovered.hard.self.instance.empty() && last > 0) {
     return Fail(ErrorId::kCorruptRecord, PathOf(kStateFile) + " is missing");
   }
-  BOOST_LEAF_CHECK(OpenLog());
+  if (m_log_suspect) {
+    BOOST_LEAF_CHECK(RewriteLog(recovered.entries));
+    m_log_suspect = false;
+  } else {
+    BOOST_LEAF_CHECK(OpenLog());
+    BOOST_LEAF_CHECK(SyncLog());
+  }
   return recovered;
 }
 
@@ -187,10 +193,10 @@
   for (const LogEntry& entry : entries) {
     bytes += EncodeRecord(ToBinary(entry));
   }
+  m_log_suspect = true;
   BOOST_LEAF_CHECK(WriteAll(m_log_fd, bytes, PathOf(kLogFile)));
-  if (::fdatasync(m_log_fd) != 0) {
-    return DiskError(PathOf(kLogFile));
-  }
+  BOOST_LEAF_CHECK(SyncLog());
+  m_log_suspect = false;
   return WriteSyncedIndex(entries.back().index);
 }
 
@@ -228,6 +234,13 @@
   return SyncFolder(m_folder);
 }
 
+Result<Done> FileStorage::SyncLog() const {
+  if (::fdatasync(m_log_fd) != 0) {
+    return DiskError(PathOf(kLogFile));
+  }
+  return Done{};
+}
+
 Result<Done> FileStorage::ReplaceFile(const char* name,
                                       const std::string& bytes) const {
   const std::string path = PathOf(name);
--- a/tests/unit-file-storage.cpp
+++ b/tests/unit-file-storage.cpp
@@ -1,12 +1,36 @@
 #define BOOST_TEST_MODULE file_storage
 #include <boost/test/unit_test.hpp>
 
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <cerrno>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
 #include "rosemarywinch/adapters/file_storage.h"
 
+namespace {
+
+// Calls of fdatasync() that still fail, and those that succeeded.
+int failing_syncs = 0;
+int syncs = 0;
+
+}  // namespace
+
+// Takes the place of the system's function in this program.
+extern "C" int fdatasync(int fd) {
+  if (failing_syncs > 0) {
+    --failing_syncs;
+    errno = ENOSPC;
+    return -1;
+  }
+  ++syncs;
+  return static_cast<int>(::syscall(SYS_fdatasync, fd));
+}
+
 namespace rosemarywinch {
 namespace {
 
@@ -118,6 +142,46 @@
   BOOST_TEST(recovered->entries.size() == 5u);
 }
 
+ino_t FileNumber(const std::string& path) {
+  struct stat info {};
+  BOOST_REQUIRE(::stat(path.c_str(), &info) == 0);
+  return info.st_ino;
+}
+
+// Failure: a replica was killed between the write of an entry and its sync,
+// acknowledged the entry after its start and lost it with the power.
+BOOST_AUTO_TEST_CASE(entries_are_synced_before_they_are_recovered) {
+  TempDirectory folder;
+  WriteEntries(folder.path, 3);
+  FileStorage storage(folder.path);
+  syncs = 0;
+  BOOST_REQUIRE(storage.Recover());
+  BOOST_TEST(syncs > 0);
+  failing_syncs = 1;
+  BOOST_TEST((RecoverError(folder.path) == ErrorId::kDiskFailed));
+  failing_syncs = 0;
+}
+
+// Failure: after a failed sync the kernel may take pages for clean that were
+// never written, and a full disk may leave half a record before the next one.
+BOOST_AUTO_TEST_CASE(the_log_is_written_anew_after_a_failed_write) {
+  TempDirectory folder;
+  WriteEntries(folder.path, 3);
+  FileStorage storage(folder.path);
+  BOOST_REQUIRE(storage.Recover());
+  const ino_t before = FileNumber(folder.path + "/log");
+  failing_syncs = 1;
+  BOOST_TEST(std::holds_alternative<Error>(
+      Capture([&] { return storage.Append({Entry(4)}); })));
+  const auto recovered = storage.Recover();
+  BOOST_REQUIRE(recovered);
+  BOOST_TEST(recovered->entries.size() == 4u);
+  BOOST_TEST(FileNumber(folder.path + "/log") != before);
+  BOOST_REQUIRE(storage.Append({Entry(5)}));
+  FileStorage again(folder.path);
+  BOOST_TEST(again.Recover()->entries.size() == 5u);
+}
+
 BOOST_AUTO_TEST_CASE(flipped_byte_is_rejected) {
   for (const char* name : {"/log", "/state"}) {
     TempDirectory folder;
