Keep the replicas that the settings named over a failed write

A replica that reloaded its disk after a failed write was built anew without the replicas that had been named since its start; if it was a spare and the seeds of its start were gone, it never joined again, though its process ran. known_replicas_outlive_a_failed_write failed before.

--- a/include/rosemarywinch/programs/consensus_driver.h
+++ b/include/rosemarywinch/programs/consensus_driver.h
@@ -134,6 +134,8 @@
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::unique_ptr<consensus::Replica> m_replica;
+  /// Replicas that were added since the start.
+  std::vector<uint32_t> m_known_replicas;
   FleetState m_state;
   std::shared_ptr<const FleetState> m_published;
   std::map<uint64_t, Waiter> m_waiters;
--- a/src/programs/consensus_driver.cc
+++ b/src/programs/consensus_driver.cc
@@ -55,6 +55,7 @@
   m_published.reset();
   m_replica = std::make_unique<consensus::Replica>(
       m_options.replica, std::move(recovered), m_random, m_clock.Now());
+  m_replica->AddKnownReplicas(m_known_replicas);
   return Done{};
 }
 
@@ -118,6 +119,7 @@
 
 void ConsensusDriver::AddKnownReplicas(const std::vector<uint32_t>& ids) {
   std::scoped_lock lock(m_mutex);
+  m_known_replicas.insert(m_known_replicas.end(), ids.begin(), ids.end());
   m_replica->AddKnownReplicas(ids);
 }
 
--- a/tests/unit-consensus-driver.cpp
+++ b/tests/unit-consensus-driver.cpp
@@ -8,6 +8,7 @@
 #include "rosemarywinch/adapters/system.h"
 #include "rosemarywinch/programs/consensus_driver.h"
 #include "support/fakes.h"
+#include "support/process.h"
 
 namespace rosemarywinch {
 namespace {
@@ -115,6 +116,47 @@
   driver.Stop();
 }
 
+// Failure: a replica that reloaded its disk after a failed write forgot the
+// replicas that the settings had named since its start, and never joined.
+BOOST_AUTO_TEST_CASE(known_replicas_outlive_a_failed_write) {
+  test::MockStorage storage;
+  test::MockTransport transport;
+  CountingListener listener;
+  SystemClock clock;
+  SystemRandom random;
+  std::atomic<bool> full = false;
+  std::atomic<int> recovered = 0;
+  std::atomic<int> asked = 0;
+  ALLOW_CALL(storage, Recover())
+      .LR_SIDE_EFFECT(++recovered)
+      .RETURN(RecoveredState{});
+  ALLOW_CALL(storage, SaveHardState(_))
+      .LR_RETURN(full ? Result<Done>(Fail(ErrorId::kDiskFailed, "full"))
+                      : Result<Done>(Done{}));
+  ALLOW_CALL(transport, Send(_));
+  ALLOW_CALL(transport, Send(_))
+      .WITH(_1.to_replica == 9 && std::holds_alternative<JoinRequest>(_1.body))
+      .LR_SIDE_EFFECT(asked += recovered > 1 ? 1 : 0);
+  ConsensusDriver::Options options;
+  options.replica.replica_id = 4;
+  options.replica.replica_ids = {1, 4};
+  options.replica.may_bootstrap = false;
+  options.replica.heartbeat = {20};
+  ConsensusDriver driver(options, clock, random, storage, transport, listener);
+  BOOST_REQUIRE(driver.Start());
+  driver.AddKnownReplicas({9});
+  full = true;
+  PeerMessage message;
+  message.to_replica = 4;
+  message.term = 5;
+  message.body = AppendRequest{};
+  driver.Receive(message);
+  full = false;
+  BOOST_TEST(test::WaitUntil([&] { return recovered > 1; }));
+  BOOST_TEST(test::WaitUntil([&] { return asked > 0; }));
+  driver.Stop();
+}
+
 BOOST_AUTO_TEST_CASE(replica_without_quorum_rejects_commands) {
   test::MockStorage storage;
   test::MockTransport transport;
