--- a/include/rosemarywinch/decisions/control/version_tracker.h
+++ b/include/rosemarywinch/decisions/control/version_tracker.h
@@ -20,7 +20,8 @@
  public:
   explicit VersionTracker(Duration lease) : m_lease(lease) {}
 
-  /// Starts a leadership term. Nodes may still hold leases of earlier leaders.
+  /// Starts a leadership term. Nodes may still hold leases of earlier leaders;
+  /// the times at which versions were applied before still count.
   void Reset(TimePoint now, uint64_t version);
 
   /// Records that the local state has reached `version`.
@@ -48,6 +49,7 @@
   };
 
   void ExpireLeases(TimePoint now);
+  void ExpireApplied(TimePoint now);
 
   const Duration m_lease;
   TimePoint m_since;
--- a/src/decisions/control/version_tracker.cc
+++ b/src/decisions/control/version_tracker.cc
@@ -9,17 +9,16 @@
 void VersionTracker::Reset(TimePoint now, uint64_t version) {
   // Before the first version there is nothing that a node could act on.
   m_since = version == 0 ? now - LessorLeaseDuration(m_lease) : now;
-  m_in_force = 0;
   m_newest = version;
   m_nodes.clear();
-  m_applied.clear();
-  m_applied[version] = now;
+  m_applied.try_emplace(version, now);
 }
 
 void VersionTracker::OnApplied(TimePoint now, uint64_t version) {
+  ExpireApplied(now);
   if (version > m_newest) {
     m_newest = version;
-    m_applied[version] = now;
+    m_applied.try_emplace(version, now);
   }
 }
 
@@ -33,11 +32,7 @@
 
 uint64_t VersionTracker::InForce(TimePoint now) {
   ExpireLeases(now);
-  for (const auto& [version, applied] : m_applied) {
-    if (now >= applied + LessorLeaseDuration(m_lease)) {
-      m_in_force = std::max(m_in_force, version);
-    }
-  }
+  ExpireApplied(now);
   if (now >= m_since + LessorLeaseDuration(m_lease)) {
     uint64_t confirmed = m_newest;
     for (const auto& [name, node] : m_nodes) {
@@ -72,6 +67,17 @@
   return pending;
 }
 
+// A lease for an older version was granted before the later one was applied
+// anywhere, by whichever leader.
+void VersionTracker::ExpireApplied(TimePoint now) {
+  for (const auto& [version, applied] : m_applied) {
+    if (now >= applied + LessorLeaseDuration(m_lease)) {
+      m_in_force = std::max(m_in_force, version);
+    }
+  }
+  m_applied.erase(m_applied.begin(), m_applied.upper_bound(m_in_force));
+}
+
 void VersionTracker::ExpireLeases(TimePoint now) {
   std::erase_if(m_nodes,
                 [&](const auto& node) { return node.second.lease_end <= now; });
--- a/tests/unit-version-tracker.cpp
+++ b/tests/unit-version-tracker.cpp
@@ -73,6 +73,20 @@
   BOOST_TEST(tracker.InForce(now) == 1u);
 }
 
+// Failure: after a change of leader, operators waited for leases that had
+// ended, counted from the start of the new term.
+BOOST_AUTO_TEST_CASE(a_new_leader_counts_from_its_time_as_a_follower) {
+  VersionTracker tracker(kLease);
+  const TimePoint applied{100'000};
+  tracker.Reset(applied - Duration{60'000}, 1);
+  tracker.OnApplied(applied, 2);
+  const Duration later{1'000};
+  tracker.Reset(applied + later, 2);
+  const TimePoint due = applied + LessorLeaseDuration(kLease);
+  BOOST_TEST(tracker.InForce(due - Duration{1}) < 2u);
+  BOOST_TEST(tracker.InForce(due) == 2u);
+}
+
 // Nodes whose clocks drift by up to the allowed maximum act on a version only
 // under a lease. None may act on a version older than the one in force.
 BOOST_AUTO_TEST_CASE(no_node_acts_on_a_version_older_than_the_one_in_force) {
