Wait for leases before the first change of the product's own fleet

The tracker took version 0 for nothing that a node could act on, which holds for the mesh's configuration; in the product's own fleet it stands for the default policy.

--- a/include/rosemarywinch/decisions/control/replica_search.h
+++ b/include/rosemarywinch/decisions/control/replica_search.h
@@ -8,9 +8,9 @@
 
 namespace rosemarywinch {
 
-/// The order in which a node asks the control replicas for the leader, each once
-/// in a round. Replicas that are down cost a timeout each, so that the first one
-/// that names the leader ends the search. Not thread-safe.
+/// The order in which a node asks the control replicas for the leader, each
+/// once in a round. Replicas that are down cost a timeout each, so that the
+/// first one that names the leader ends the search. Not thread-safe.
 class ReplicaSearch {
  public:
   /// Begins a round with `leader`, 0 if it is unknown, and goes on with
--- a/src/decisions/control/version_tracker.cc
+++ b/src/decisions/control/version_tracker.cc
@@ -7,8 +7,7 @@
 namespace rosemarywinch {
 
 void VersionTracker::Reset(TimePoint now, uint64_t version) {
-  // Before the first version there is nothing that a node could act on.
-  m_since = version == 0 ? now - LessorLeaseDuration(m_lease) : now;
+  m_since = now;
   m_newest = version;
   m_nodes.clear();
   m_applied.try_emplace(version, now);
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -174,9 +174,13 @@
     m_version_state.versions.Reset(now, state.version);
   }
   {
+    const uint64_t configuration = state.configuration.version;
+    // Before the first configuration there is nothing that nodes could act on.
+    const TimePoint since =
+        configuration == 0 ? now - LessorLeaseDuration(m_lease) : now;
     std::scoped_lock lock(m_configuration_state.mutex);
-    m_configuration_state.versions.Reset(now, state.configuration.version);
-    m_configuration_state.newest = state.configuration.version;
+    m_configuration_state.versions.Reset(since, configuration);
+    m_configuration_state.newest = configuration;
     m_configuration_state.newest_applied = now;
   }
   {
--- a/tests/unit-version-tracker.cpp
+++ b/tests/unit-version-tracker.cpp
@@ -65,14 +65,6 @@
   BOOST_TEST(tracker.InForceWithin(now, kBound, 2));
 }
 
-BOOST_AUTO_TEST_CASE(the_first_version_waits_for_no_leases) {
-  VersionTracker tracker(kLease);
-  const TimePoint now{100'000};
-  tracker.Reset(now, 0);
-  tracker.OnApplied(now, 1);
-  BOOST_TEST(tracker.InForce(now) == 1u);
-}
-
 // Failure: after a change of leader, operators waited for leases that had
 // ended, counted from the start of the new term.
 BOOST_AUTO_TEST_CASE(a_new_leader_counts_from_its_time_as_a_follower) {
