Confirm a configuration with a small poll

After each change all nodes polled twice within 40 ms, and the second poll reported demand and load over that time, too short to measure them. The poll for tokens, which reports neither, now carries the version that the node acts on. a_small_poll_confirms_a_configuration.

--- a/include/rosemarywinch/programs/mesh/mesh_poller.h
+++ b/include/rosemarywinch/programs/mesh/mesh_poller.h
@@ -64,7 +64,7 @@
                           const ExchangeResult& result);
   void Wake();
   PollRequest MakeRequest();
-  PollRequest MakeTokenRequest();
+  PollRequest MakeSmallRequest();
   uint32_t Leader();
   ReplicaSearch BeginSearch();
   void LogReachability(bool reachable, const std::string& reason);
@@ -79,6 +79,8 @@
   asio::steady_timer m_timer;
   std::atomic<bool> m_poll_requested{false};
   std::atomic<bool> m_tokens_requested{false};
+  /// Control hasn't been told yet that this node acts on a new configuration.
+  std::atomic<bool> m_confirmation_due{false};
   std::atomic<bool> m_leaving{false};
   std::mutex m_mutex;
   std::set<uint32_t> m_seeds;
--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -53,7 +53,8 @@
   /// answer a poll.
   void FillPoll(PollRequest& request);
 
-  /// Fills in a poll that only asks for the tokens that requests wait for.
+  /// Fills in a poll that only asks for the tokens that requests wait for, and
+  /// confirms the configuration that this node acts on.
   void FillTokenPoll(PollRequest& request);
 
   /// Applies the response to a poll for tokens that was sent at `sent`. Errors:
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -61,6 +61,9 @@
   response.lease = m_lease;
   if (request.tokens_only) {
     AddQuotas(view, request, response);
+    if (request.configuration_version > 0) {
+      RecordConfiguration(view, request);
+    }
     return response;
   }
   AddFleetState(*view.state, request.config_version, response);
--- a/src/programs/mesh/mesh_poller.cc
+++ b/src/programs/mesh/mesh_poller.cc
@@ -105,8 +105,10 @@
       next_poll = now + (answered ? PauseAfterPoll()
                                   : kMinPollPause + kUnreachableBackoff);
     } else {
-      const PollRequest tokens = MakeTokenRequest();
-      if (!tokens.quotas.empty() && !co_await PollOnce(leader, tokens)) {
+      const PollRequest small = MakeSmallRequest();
+      const bool confirms = m_confirmation_due.exchange(false);
+      if ((confirms || !small.quotas.empty()) &&
+          !co_await PollOnce(leader, small)) {
         next_poll = now;
       }
     }
@@ -115,7 +117,7 @@
     co_await m_timer.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
     m_timer.expires_after(ToChrono(next_poll - m_clock.Now()));
-    if (!m_poll_requested && !m_tokens_requested) {
+    if (!m_poll_requested && !m_tokens_requested && !m_confirmation_due) {
       co_await m_timer.async_wait(
           asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -200,8 +202,9 @@
   const uint64_t held = m_view.ConfigurationVersion();
   BOOST_LEAF_CHECK(m_view.ApplyPoll(sent, *reply.response));
   if (m_view.ConfigurationVersion() != held) {
-    // The operator waits for the confirmation.
-    m_poll_requested = true;
+    // The operator waits for the confirmation. A whole poll would report loads
+    // that were measured over too short a time.
+    m_confirmation_due = true;
   }
   if (reply.response->departures_known) {
     m_backend_proxy.OnDeparturesStored(reply.response->departures);
@@ -209,7 +212,7 @@
   return Done{};
 }
 
-PollRequest MeshPoller::MakeTokenRequest() {
+PollRequest MeshPoller::MakeSmallRequest() {
   PollRequest request;
   request.protocol_version = consensus::kProtocolVersion;
   request.node = m_options.node;
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -91,6 +91,9 @@
     std::scoped_lock lock(m_mutex);
     request.cluster = m_control_state.cluster;
     request.term = m_control_state.term;
+    request.configuration_version = m_control_state.config == nullptr
+                                        ? 0
+                                        : m_control_state.config->version();
   }
   request.tokens_only = true;
   const TimePoint now = m_clock.Now();
--- a/tests/unit-configuration-in-force.cpp
+++ b/tests/unit-configuration-in-force.cpp
@@ -68,8 +68,9 @@
 
   // Polls as a node that acts on configuration `held`, 0 for none. Returns the
   // version that it is told to act on.
-  uint64_t Poll(const std::string& node, uint64_t held) {
+  uint64_t Poll(const std::string& node, uint64_t held, bool small = false) {
     PollRequest request;
+    request.tokens_only = small;
     request.protocol_version = consensus::kProtocolVersion;
     request.node = node;
     request.configuration_version = held;
@@ -123,6 +124,17 @@
   BOOST_TEST(control.Put(6, 4) == kOk);
 }
 
+// The polls for tokens in between report no loads, so that they may follow each
+// other at short intervals.
+BOOST_AUTO_TEST_CASE(a_small_poll_confirms_a_configuration) {
+  Control control;
+  BOOST_TEST(control.Put(4, 0) == kOk);
+  control.Poll("node", 4);
+  BOOST_TEST(control.BeginPut(6, 4).get() == kUnavailable);
+  control.Poll("node", 6, /*small=*/true);
+  BOOST_TEST(control.Put(6, 4) == kOk);
+}
+
 // A node that has started anew acts on no version until it is answered.
 BOOST_AUTO_TEST_CASE(a_node_without_a_configuration_delays_no_acknowledgement) {
   Control control;
