Give three tests one control replica

How the code reads: unit-control-service, unit-evacuation-calls and unit-configuration-in-force each built the same replica of mocks and a driver.

--- a/tests/unit-configuration-in-force.cpp
+++ b/tests/unit-configuration-in-force.cpp
@@ -10,13 +10,12 @@
 #include "rosemarywinch/adapters/text_packer.h"
 #include "rosemarywinch/programs/mesh/mesh_view.h"
 #include "rosemarywinch/programs/mesh/operator_call_handler.h"
-#include "support/fakes.h"
+#include "support/control.h"
 #include "support/mesh.h"
 
 using namespace rosemarywinch;
 using test::ConfigurationText;
 using test::WaitUntil;
-using trompeloeil::_;
 
 namespace {
 
@@ -28,18 +27,10 @@
 // The only replica of a cluster. Its nodes are played by the test.
 class Control {
  public:
-  Control() {
-    m_service.Attach(m_driver);
-    BOOST_REQUIRE(m_driver.Start());
-    BOOST_REQUIRE(WaitUntil([&] {
-      return !std::holds_alternative<Error>(
-          Capture([&] { return m_driver.ReadAsLeader(); }));
-    }));
-  }
+  Control() { m_replica.WaitForLeader(); }
   ~Control() {
     m_context.stop();
     m_thread.join();
-    m_driver.Stop();
   }
 
   // Begins to put a configuration.
@@ -74,35 +65,14 @@
     request.protocol_version = consensus::kProtocolVersion;
     request.node = node;
     request.configuration_version = held;
-    const auto outcome = Capture([&] { return m_service.Poll(request); });
-    BOOST_REQUIRE(std::holds_alternative<PollResponse>(outcome));
-    return std::get<PollResponse>(outcome).configuration_version;
+    return m_replica.Poll(request).configuration_version;
   }
 
  private:
-  static ConsensusDriver::Options Options() {
-    ConsensusDriver::Options options;
-    options.replica.replica_id = 1;
-    options.replica.replica_ids = {1};
-    options.replica.heartbeat = {20};
-    return options;
-  }
-
-  test::MockStorage m_storage;
-  test::MockTransport m_transport;
-  const std::unique_ptr<trompeloeil::expectation> m_recovers =
-      NAMED_ALLOW_CALL(m_storage, Recover()).RETURN(RecoveredState{});
-  const std::unique_ptr<trompeloeil::expectation> m_saves =
-      NAMED_ALLOW_CALL(m_storage, SaveHardState(_)).RETURN(Done{});
-  const std::unique_ptr<trompeloeil::expectation> m_appends =
-      NAMED_ALLOW_CALL(m_storage, Append(_)).RETURN(Done{});
-  SystemClock m_clock;
-  SystemRandom m_random;
+  test::ControlReplica m_replica{{.lease = kLease}};
   WireProtocol m_protocol;
-  ControlService m_service{kLease, QuotaTolerance{}, {}};
-  ConsensusDriver m_driver{Options(), m_clock,     m_random,
-                           m_storage, m_transport, m_service};
-  OperatorCallHandler m_handler{1, 1, m_protocol, m_service, m_driver, m_clock};
+  OperatorCallHandler m_handler{
+      1, 1, m_protocol, m_replica.service, m_replica.driver, m_replica.clock};
   asio::io_context m_context;
   asio::executor_work_guard<asio::io_context::executor_type> m_work{
       m_context.get_executor()};
--- a/tests/unit-control-service.cpp
+++ b/tests/unit-control-service.cpp
@@ -1,46 +1,31 @@
 #define BOOST_TEST_MODULE control_service
 #include <boost/test/unit_test.hpp>
 
-#include <chrono>
 #include <future>
-#include <thread>
 
-#include "rosemarywinch/adapters/system.h"
-#include "rosemarywinch/programs/consensus_driver.h"
-#include "rosemarywinch/programs/control_service.h"
-#include "support/fakes.h"
+#include "support/control.h"
 #include "support/mesh.h"
 
 namespace rosemarywinch {
 namespace {
 
-using trompeloeil::_;
-
 // A leader that is the only replica.
 class LeaderFixture {
  public:
   explicit LeaderFixture(
       ConfigurationReader::Parser parser = ParseWithoutRoutes)
-      : m_parser(std::move(parser)) {
-    m_service.Attach(m_driver);
-    BOOST_REQUIRE(m_driver.Start());
-    while (std::holds_alternative<Error>(
-        Capture([&] { return m_driver.ReadAsLeader(); }))) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
+      : m_replica({.parser = std::move(parser)}) {
+    m_replica.WaitForLeader();
   }
-  ~LeaderFixture() { m_driver.Stop(); }
 
   PollResponse Poll(const PollRequest& request) {
-    const auto outcome = Capture([&] { return m_service.Poll(request); });
-    BOOST_REQUIRE(std::holds_alternative<PollResponse>(outcome));
-    return std::get<PollResponse>(outcome);
+    return m_replica.Poll(request);
   }
 
   void PutConfiguration(uint64_t version, const std::string& document) {
     FleetCommand command;
     command.change = rosemarywinch::PutConfiguration{version, 0, document, "f"};
-    BOOST_REQUIRE(m_driver.Submit(command, {5'000}));
+    BOOST_REQUIRE(m_replica.driver.Submit(command, {5'000}));
   }
 
   // Stores the departures in a poll and waits for that. Returns whether there
@@ -48,7 +33,7 @@
   bool Store(const PollRequest& request) {
     std::promise<void> stored;
     const bool begun =
-        m_service.StoreDepartures(request, [&] { stored.set_value(); });
+        m_replica.service.StoreDepartures(request, [&] { stored.set_value(); });
     if (begun) {
       stored.get_future().wait();
     }
@@ -56,28 +41,7 @@
   }
 
  private:
-  static ConsensusDriver::Options Options() {
-    ConsensusDriver::Options options;
-    options.replica.replica_id = 1;
-    options.replica.replica_ids = {1};
-    options.replica.heartbeat = {20};
-    return options;
-  }
-
-  const ConfigurationReader::Parser m_parser;
-  test::MockStorage m_storage;
-  test::MockTransport m_transport;
-  const std::unique_ptr<trompeloeil::expectation> m_recovers =
-      NAMED_ALLOW_CALL(m_storage, Recover()).RETURN(RecoveredState{});
-  const std::unique_ptr<trompeloeil::expectation> m_saves =
-      NAMED_ALLOW_CALL(m_storage, SaveHardState(_)).RETURN(Done{});
-  const std::unique_ptr<trompeloeil::expectation> m_appends =
-      NAMED_ALLOW_CALL(m_storage, Append(_)).RETURN(Done{});
-  SystemClock m_clock;
-  SystemRandom m_random;
-  ControlService m_service{{3'000}, QuotaTolerance{}, {}, m_parser};
-  ConsensusDriver m_driver{Options(), m_clock,     m_random,
-                           m_storage, m_transport, m_service};
+  test::ControlReplica m_replica;
 };
 
 PollRequest RequestOf(const std::string& node) {
--- a/tests/unit-evacuation-calls.cpp
+++ b/tests/unit-evacuation-calls.cpp
@@ -11,13 +11,13 @@
 #include "rosemarywinch/programs/mesh/backend_proxy.h"
 #include "rosemarywinch/programs/mesh/operator_call_handler.h"
 #include "rosemarywinch/programs/mesh/outbound_proxy.h"
+#include "support/control.h"
 #include "support/fakes.h"
 #include "support/mesh.h"
 
 using namespace rosemarywinch;
 using test::BackendStandIn;
 using test::WaitUntil;
-using trompeloeil::_;
 
 namespace {
 
@@ -25,23 +25,10 @@
 class Control {
  public:
   explicit Control(std::vector<uint32_t> replicas)
-      : m_driver(Options(std::move(replicas)),
-                 m_clock,
-                 m_random,
-                 m_storage,
-                 m_transport,
-                 m_service) {
-    m_service.Attach(m_driver);
-    BOOST_REQUIRE(m_driver.Start());
-  }
-  ~Control() { m_driver.Stop(); }
+      : m_replica({.replicas = std::move(replicas),
+                   .data_centres = {"dc1", "dc2"}}) {}
 
-  void WaitForLeader() {
-    BOOST_REQUIRE(WaitUntil([&] {
-      return !std::holds_alternative<Error>(
-          Capture([&] { return m_driver.ReadAsLeader(); }));
-    }));
-  }
+  void WaitForLeader() { m_replica.WaitForLeader(); }
 
   int Call(const std::string& method, const std::string& data_centre) {
     asio::io_context context;
@@ -58,35 +45,14 @@
     PollRequest request;
     request.protocol_version = consensus::kProtocolVersion;
     request.node = "node";
-    const auto outcome = Capture([&] { return m_service.Poll(request); });
-    return std::get<PollResponse>(outcome);
+    return m_replica.Poll(request);
   }
 
  private:
-  static ConsensusDriver::Options Options(std::vector<uint32_t> replicas) {
-    ConsensusDriver::Options options;
-    options.replica.replica_id = 1;
-    options.replica.replica_ids = std::move(replicas);
-    options.replica.heartbeat = {20};
-    return options;
-  }
-
-  test::MockStorage m_storage;
-  test::MockTransport m_transport;
-  const std::unique_ptr<trompeloeil::expectation> m_recovers =
-      NAMED_ALLOW_CALL(m_storage, Recover()).RETURN(RecoveredState{});
-  const std::unique_ptr<trompeloeil::expectation> m_saves =
-      NAMED_ALLOW_CALL(m_storage, SaveHardState(_)).RETURN(Done{});
-  const std::unique_ptr<trompeloeil::expectation> m_appends =
-      NAMED_ALLOW_CALL(m_storage, Append(_)).RETURN(Done{});
-  const std::unique_ptr<trompeloeil::expectation> m_sends =
-      NAMED_ALLOW_CALL(m_transport, Send(_));
-  SystemClock m_clock;
-  SystemRandom m_random;
+  test::ControlReplica m_replica;
   WireProtocol m_protocol;
-  ControlService m_service{{3'000}, QuotaTolerance{}, {"dc1", "dc2"}};
-  ConsensusDriver m_driver;
-  OperatorCallHandler m_handler{1, 1, m_protocol, m_service, m_driver, m_clock};
+  OperatorCallHandler m_handler{
+      1, 1, m_protocol, m_replica.service, m_replica.driver, m_replica.clock};
 };
 
 // A backend proxy on its own thread.
