Name the version that a node holds once

How the code reads: the same expression stood four times in MeshView. No change of behaviour; unit-configuration-in-force, unit-evacuation-calls and unit-quota passed.

--- a/include/rosemarywinch/programs/mesh/mesh_view.h
+++ b/include/rosemarywinch/programs/mesh/mesh_view.h
@@ -136,6 +136,11 @@
     std::map<std::string, QuotaCache> quotas;
   };
   struct ControlState {
+    /// Version of `config`, 0 without one.
+    uint64_t HeldVersion() const {
+      return config == nullptr ? 0 : config->version();
+    }
+
     std::string cluster;
     uint64_t term = 0;
     uint64_t fleet_version = 0;
--- a/src/programs/mesh/mesh_view.cc
+++ b/src/programs/mesh/mesh_view.cc
@@ -40,8 +40,7 @@
 
 uint64_t MeshView::ConfigurationVersion() const {
   std::scoped_lock lock(m_mutex);
-  return m_control_state.config == nullptr ? 0
-                                           : m_control_state.config->version();
+  return m_control_state.HeldVersion();
 }
 
 bool MeshView::IsReady() const {
@@ -91,9 +90,7 @@
     std::scoped_lock lock(m_mutex);
     request.cluster = m_control_state.cluster;
     request.term = m_control_state.term;
-    request.configuration_version = m_control_state.config == nullptr
-                                        ? 0
-                                        : m_control_state.config->version();
+    request.configuration_version = m_control_state.HeldVersion();
   }
   request.tokens_only = true;
   const TimePoint now = m_clock.Now();
@@ -161,8 +158,7 @@
     BOOST_LEAF_ASSIGN(config, ParseMeshConfig(document));
   }
   std::scoped_lock lock(m_mutex);
-  const uint64_t current_version =
-      m_control_state.config == nullptr ? 0 : m_control_state.config->version();
+  const uint64_t current_version = m_control_state.HeldVersion();
   if (response.configuration_version < current_version) {
     return Fail(ErrorId::kConflict, "control returned an older configuration");
   }
@@ -182,8 +178,7 @@
   }
   m_control_state.cluster = response.cluster;
   m_control_state.term = response.term;
-  const uint64_t held =
-      m_control_state.config == nullptr ? 0 : m_control_state.config->version();
+  const uint64_t held = m_control_state.HeldVersion();
   const bool current = held == response.configuration_version;
   if (current) {
     m_control_state.fleet_version = response.config_version;
