Test half a record that a full disk leaves in the log

The disk of the test takes half of a record and nothing after it. Recovery fails while the disk is full, and once there is room the entries that follow are found again.

--- a/tests/unit-file-storage.cpp
+++ b/tests/unit-file-storage.cpp
@@ -17,10 +17,13 @@
 // Calls of fdatasync() that still fail, and those that succeeded.
 int failing_syncs = 0;
 int syncs = 0;
+// The disk takes half of the next write, and nothing after it.
+enum class Disk { kWithRoom, kAlmostFull, kFull };
+Disk disk = Disk::kWithRoom;
 
 }  // namespace
 
-// Takes the place of the system's function in this program.
+// These take the place of the system's functions in this program.
 extern "C" int fdatasync(int fd) {
   if (failing_syncs > 0) {
     --failing_syncs;
@@ -31,6 +34,18 @@
   return static_cast<int>(::syscall(SYS_fdatasync, fd));
 }
 
+extern "C" ssize_t write(int fd, const void* bytes, size_t count) {
+  if (disk == Disk::kFull) {
+    errno = ENOSPC;
+    return -1;
+  }
+  if (disk == Disk::kAlmostFull) {
+    disk = Disk::kFull;
+    count /= 2;
+  }
+  return ::syscall(SYS_write, fd, bytes, count);
+}
+
 namespace rosemarywinch {
 namespace {
 
@@ -182,6 +197,25 @@
   BOOST_TEST(again.Recover()->entries.size() == 5u);
 }
 
+// Failure: half a record that a full disk had left stood before the next
+// entries, out of reach of each later recovery.
+BOOST_AUTO_TEST_CASE(half_a_record_of_a_full_disk_hides_no_later_entry) {
+  TempDirectory folder;
+  WriteEntries(folder.path, 3);
+  FileStorage storage(folder.path);
+  BOOST_REQUIRE(storage.Recover());
+  disk = Disk::kAlmostFull;
+  const auto appended = Capture([&] { return storage.Append({Entry(4)}); });
+  const auto while_full = Capture([&] { return storage.Recover(); });
+  disk = Disk::kWithRoom;
+  BOOST_TEST(std::holds_alternative<Error>(appended));
+  BOOST_TEST(std::holds_alternative<Error>(while_full));
+  BOOST_REQUIRE(storage.Recover());
+  BOOST_REQUIRE(storage.Append({Entry(4)}));
+  FileStorage again(folder.path);
+  BOOST_TEST(again.Recover()->entries.size() == 4u);
+}
+
 BOOST_AUTO_TEST_CASE(flipped_byte_is_rejected) {
   for (const char* name : {"/log", "/state"}) {
     TempDirectory folder;
