Share the test caller of backend servers

unit-backend-channel held the caller that sends as the proxy of a backend server does. The tests of broken answers need the same one, so it moves to tests/support/backend_caller.h unchanged, under the name BackendCaller. unit-backend-channel passes as before.

--- a/tests/unit-backend-channel.cpp
+++ b/tests/unit-backend-channel.cpp
@@ -1,28 +1,23 @@
 #define BOOST_TEST_MODULE backend_channel
 #include <boost/test/unit_test.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <optional>
+#include <atomic>
+#include <string>
 #include <vector>
 
-#include "platform/wire_protocol.h"
-#include "rosemarywinch/adapters/async/backend_channel.h"
-#include "rosemarywinch/decisions/mesh/answer_check.h"
-#include "rosemarywinch/interfaces/http_request_builder.h"
+#include "support/backend_caller.h"
 #include "support/scripted_peer.h"
 
 // Pattern: a backend server in trouble. It sends an answer twice, breaks one
 // off, or sends bytes without end.
 
 using namespace rosemarywinch;
+using test::BackendCaller;
 using test::PeerConnection;
 using test::ScriptedPeer;
 
 namespace {
 
-constexpr Duration kLimit{20'000};
 // Limits of the channel, and what sockets hold beside them.
 constexpr uint64_t kMaxResponseBytes = 16'777'216;
 constexpr uint64_t kMaxTogether = 2 * 33'554'432;
@@ -41,53 +36,6 @@
   return at == std::string::npos ? "" : request.substr(at + name.size(), 2);
 }
 
-// Sends requests over one channel, as the proxy of a backend server does.
-class Caller {
- public:
-  explicit Caller(const std::string& address) : m_channel(address) {}
-
-  BackendResult Send(const std::string& id) {
-    Start(id);
-    return std::move(Finish().front());
-  }
-
-  void Start(const std::string& id) {
-    m_results.emplace_back();
-    asio::co_spawn(
-        m_context,
-        [this, id, at = m_results.size() - 1] { return Run(id, at); },
-        asio::detached);
-  }
-
-  std::vector<BackendResult> Finish() {
-    m_context.run();
-    m_context.restart();
-    return std::exchange(m_results, {});
-  }
-
- private:
-  asio::awaitable<void> Run(std::string id, size_t at) {
-    HopRequest hop;
-    hop.request_id = id;
-    HttpRequest request =
-        HttpRequestBuilder("GET", "/").Header("X-Request-Id", id).Build();
-    const ResponseMatcher matches = [&](const HttpResponse& response,
-                                        bool reused) {
-      return IsAnswerToRequest(m_protocol.ReadBackendAnswer(hop, response),
-                               reused);
-    };
-    const auto cancellation = std::make_shared<CancellationToken>();
-    BackendResult result = co_await m_channel.Send(std::move(request), matches,
-                                                   kLimit, cancellation);
-    m_results[at] = std::move(result);
-  }
-
-  asio::io_context m_context;
-  WireProtocol m_protocol;
-  BackendChannel m_channel;
-  std::vector<BackendResult> m_results;
-};
-
 // Returns the status of a request that is answered with `text`; the connection
 // then ends, with a reset if `reset`.
 BackendCallStatus StatusAfter(const std::string& text, bool reset = false) {
@@ -98,7 +46,7 @@
       connection.Reset();
     }
   });
-  return Caller(peer.Address()).Send("a1").status;
+  return BackendCaller(peer.Address()).Send("a1").status;
 }
 
 // Returns how many bytes a peer can send that begins with `head` and repeats
@@ -111,7 +59,7 @@
       connection.Write(head);
       bytes = connection.WriteWithoutEnd(block);
     });
-    BOOST_TEST((Caller(peer.Address()).Send("a1").status ==
+    BOOST_TEST((BackendCaller(peer.Address()).Send("a1").status ==
                 BackendCallStatus::kBroken));
   }
   return bytes;
@@ -128,7 +76,7 @@
     connection.Write(Answer(first));
     connection.Write(Answer(second));
   });
-  Caller caller(peer.Address());
+  BackendCaller caller(peer.Address());
   BOOST_TEST(caller.Send("a1").response.body == "a1");
   BOOST_TEST(caller.Send("a2").response.body == "a2");
   BOOST_TEST(peer.connections() == 1);
@@ -146,7 +94,7 @@
       connection.Write(refusal);
       connection.Write(Answer(second));
     });
-    Caller caller(peer.Address());
+    BackendCaller caller(peer.Address());
     BOOST_TEST(caller.Send("a1").response.status == 503);
     BOOST_TEST(caller.Send("a2").response.body == "a2");
   }
@@ -170,7 +118,7 @@
         connection.ReadRequest();
         connection.Write(text);
       });
-      Caller caller(peer.Address());
+      BackendCaller caller(peer.Address());
       BOOST_TEST((caller.Send("a1").status == BackendCallStatus::kAnswered));
       BOOST_TEST((caller.Send("a2").status == BackendCallStatus::kBroken),
                  text);
@@ -185,7 +133,7 @@
     connection.Write(Answer(id) + "junk");
     connection.ReadRequest();
   });
-  Caller caller(peer.Address());
+  BackendCaller caller(peer.Address());
   BOOST_TEST(caller.Send("a1").response.body == "a1");
   BOOST_TEST(caller.Send("a2").response.body == "a2");
   BOOST_TEST(peer.connections() == 2);
@@ -282,7 +230,7 @@
       connection.Write(kOk + "X-Request-Id: " + id + "\r\n\r\n");
       bytes += connection.WriteWithoutEnd(kBlock);
     });
-    Caller caller(peer.Address());
+    BackendCaller caller(peer.Address());
     for (int i = 0; i < kEndless; ++i) {
       caller.Start("e" + std::to_string(i % 10));
     }
