Keep the fields of a trailer out of a response's head, in the mesh

What callers saw: an answer in chunks with a trailer that says "not run" turned a 2xx that had run into a refusal, and the request could run again (REFUSED, TWICE); an id or a seal in a trailer counted as well (MIXED).

Cause: Beast adds the fields of a trailer to the fields of the message. BackendChannel made the response after the last byte, from all of them.

Fix: the response takes its head when the head is complete, and its body at the end. Beast still refuses a malformed trailer.

--- a/src/adapters/async/backend_channel.cc
+++ b/src/adapters/async/backend_channel.cc
@@ -183,13 +183,21 @@
                              boost::beast::flat_buffer& buffer,
                              bool without_body) {
   http::response_parser<http::string_body> parser;
-  parser.eager(true);
   parser.body_limit(SharedResponseBudget::kMaxBodyBytes);
   parser.header_limit(SharedResponseBudget::kMaxHeadBytes);
   parser.skip(without_body);
   SharedResponseBudget::Share share(m_budget);
+  error_code error;
+  co_await http::async_read_header(
+      connection.socket, buffer, parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return std::nullopt;
+  }
+  ParsedResponse parsed;
+  parsed.response = FromBeast(parser.get());
+  parser.eager(true);
   while (!parser.is_done()) {
-    error_code error;
     co_await http::async_read_some(
         connection.socket, buffer, parser,
         asio::redirect_error(asio::use_awaitable, error));
@@ -197,9 +205,10 @@
       co_return std::nullopt;
     }
   }
-  ParsedResponse parsed;
   parsed.keep_alive = parser.get().keep_alive() && !parser.get().need_eof();
-  parsed.response = FromBeast(parser.release());
+  // The parser has added the fields of a trailer to those of the head, to which
+  // they do not belong.
+  parsed.response.body = std::move(parser.get().body());
   co_return parsed;
 }
 
