Refuse answers whose head is no HTTP, in the mesh

What callers saw: an upstream in trouble answered with the status 000, and its client got that as an answer (MIXED). So it was with 001 to 099 and with 600 to 999, with a 101 that nobody asked for, and with folded lines; a length in a folded line was not seen, so that the body was another one.

Cause: BackendChannel handed on whatever Beast's parser takes. Beast takes any three digits for a status, joins folded lines, reads the first of two statements of the framing, and takes codings that it does not decode.

Fix: ResponseHeadReader, a decision without sockets, holds one rule of a sound head by the grammar of RFC 9112: version 1.0 or 1.1, a final status (200 to 599), names that are tokens, values without control characters, no folding, CRLF, framing that is stated in one way. HttpResponseReader takes heads through it and leaves only the body to Beast, which is told the framing and nothing else, so that no second reading of the head can differ. BackendChannel reads with it. What is refused counts as broken: its outcome is unknown (502, retried for idempotent routes only), and its connection is not used again. The log line broken_response names the request and the fault. Lengths that are stated twice and alike still pass, as RFC 9110 allows.

Why the rule is not laid on what Beast returns: folding and a second length are not visible there.

--- a/include/rosemarywinch/adapters/async/backend_channel.h
+++ b/include/rosemarywinch/adapters/async/backend_channel.h
@@ -1,17 +1,16 @@
 #ifndef ROSEMARYWINCH_ADAPTERS_ASYNC_BACKEND_CHANNEL_H_
 #define ROSEMARYWINCH_ADAPTERS_ASYNC_BACKEND_CHANNEL_H_
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "rosemarywinch/adapters/async/cancellation_token.h"
 #include "rosemarywinch/adapters/async/net.h"
+#include "rosemarywinch/adapters/http_response_reader.h"
 #include "rosemarywinch/adapters/shared_response_budget.h"
 #include "rosemarywinch/interfaces/backend_server.h"
 
@@ -26,10 +25,10 @@
 /// Sends requests to one backend server over a pool of persistent connections,
 /// one request at a time on each. Thread-safe.
 ///
-/// Only complete responses are returned. A response to another request is
-/// discarded; a connection on which one arrived, or on which bytes follow a
-/// response, is not reused. The memory of unfinished responses is bounded;
-/// a response without end is broken off.
+/// Only complete and sound responses are returned. A response to another
+/// request is discarded; a connection on which one arrived, or on which bytes
+/// follow a response, is not reused. The memory of unfinished responses is
+/// bounded; a response without end is broken off.
 class BackendChannel {
  public:
   explicit BackendChannel(std::string address);
@@ -52,19 +51,12 @@
     Tcp::socket socket;
     std::chrono::steady_clock::time_point usable_until;
   };
-  struct ParsedResponse {
-    HttpResponse response;
-    /// The connection may serve further requests.
-    bool keep_alive = false;
-  };
   class Attempt;
 
-  /// Reads one response. Returns nothing if it breaks off, is malformed or
-  /// exceeds the memory for responses.
-  asio::awaitable<std::optional<ParsedResponse>> ReadResponse(
-      Connection& connection,
-      boost::beast::flat_buffer& buffer,
-      bool without_body);
+  /// Feeds `reader` until it is finished or the connection ends.
+  static asio::awaitable<void> ReadResponse(Connection& connection,
+                                            HttpResponseReader::Buffer& buffer,
+                                            HttpResponseReader& reader);
   std::unique_ptr<Connection> TakeIdle();
   void AddIdle(std::unique_ptr<Connection> connection,
                const HttpResponse& response);
--- a/include/rosemarywinch/core/text_value.h
+++ b/include/rosemarywinch/core/text_value.h
@@ -41,6 +41,9 @@
 /// direction. Fractions of a millisecond are dropped.
 std::optional<Duration> ParseMilliseconds(std::string_view text);
 
+/// Returns `text` without the spaces and tabs at its ends.
+std::string_view WithoutBlanks(std::string_view text);
+
 /// Creates a kBadValue error for `field` that names its unit and range.
 boost::leaf::error_id FailBadValue(const FieldInfo& field,
                                    std::string_view text);
--- /dev/null
+++ b/include/rosemarywinch/decisions/traffic/response_head.h
@@ -0,0 +1,59 @@
+#ifndef ROSEMARYWINCH_DECISIONS_TRAFFIC_RESPONSE_HEAD_H_
+#define ROSEMARYWINCH_DECISIONS_TRAFFIC_RESPONSE_HEAD_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "rosemarywinch/interfaces/http.h"
+#include "rosemarywinch/schema/response.h"
+
+namespace rosemarywinch {
+
+/// Returns whether `status` is that of a final response: 200 to 599 (RFC 9110,
+/// section 15).
+bool IsFinalStatus(int status);
+
+/// Returns kFieldName unless the name is a token, kFieldValue if the value has
+/// a control character other than a tab (RFC 9110, section 5), else kNone.
+ResponseFault CheckField(std::string_view name, std::string_view value);
+
+/// Head of a final response.
+struct ResponseHead {
+  /// 0 for HTTP/1.0, 1 for HTTP/1.1.
+  int minor_version = 1;
+  int status = 0;
+  HttpHeaders headers;
+  /// Length of the body in bytes, if the head states it.
+  std::optional<uint64_t> body_length;
+  /// The body comes in chunks.
+  bool chunked = false;
+};
+
+/// Reads the head of an HTTP/1.x response line by line, and accepts only what
+/// RFC 9112 allows a server to send: a later recipient could read anything else
+/// in another way. Knows no sockets.
+class ResponseHeadReader {
+ public:
+  /// Takes the next line, with its line end. Nothing may follow a fault or the
+  /// line that completes the head.
+  ResponseFault TakeLine(std::string_view line);
+
+  /// Returns whether the empty line that ends the head has been taken.
+  bool complete() const { return m_complete; }
+  const ResponseHead& head() const { return m_head; }
+
+ private:
+  ResponseFault TakeStatusLine(std::string_view line);
+  ResponseFault TakeField(std::string_view line);
+  ResponseFault Complete();
+  ResponseFault ReadFraming();
+
+  bool m_has_status = false;
+  bool m_complete = false;
+  ResponseHead m_head;
+};
+
+}  // namespace rosemarywinch
+
+#endif  // ROSEMARYWINCH_DECISIONS_TRAFFIC_RESPONSE_HEAD_H_
--- a/include/rosemarywinch/interfaces/backend_server.h
+++ b/include/rosemarywinch/interfaces/backend_server.h
@@ -5,6 +5,7 @@
 
 #include "rosemarywinch/core/time.h"
 #include "rosemarywinch/interfaces/http.h"
+#include "rosemarywinch/schema/response.h"
 
 namespace rosemarywinch {
 
@@ -23,6 +24,9 @@
 struct BackendResult {
   BackendCallStatus status = BackendCallStatus::kNotSent;
   HttpResponse response;
+  /// What is wrong with the response that was read last, if kBroken follows
+  /// from it.
+  ResponseFault fault = ResponseFault::kNone;
   /// The connection was refused: nothing listens at the address.
   bool refused = false;
 };
--- a/src/adapters/async/backend_channel.cc
+++ b/src/adapters/async/backend_channel.cc
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -19,7 +17,6 @@
 
 namespace {
 
-namespace http = boost::beast::http;
 using boost::system::error_code;
 using SteadyClock = std::chrono::steady_clock;
 
@@ -34,8 +31,8 @@
 constexpr Duration kKeepAliveMargin{1'000};
 // Responses to earlier requests that are skipped before an attempt fails.
 constexpr int kMaxStaleResponses = 3;
-// Received and not parsed yet, such as the header of a chunk that does not end.
-constexpr size_t kMaxUnparsedBytes = 262'144;
+// Maximum number of bytes that one read takes.
+constexpr size_t kMaxReadBytes = 65'536;
 
 std::chrono::milliseconds ToChrono(Duration length) {
   return std::chrono::milliseconds(length.ms);
@@ -155,18 +152,20 @@
                                                 asio::buffer(request.body)};
   co_await asio::async_write(connection->socket, parts,
                              asio::redirect_error(asio::use_awaitable, error));
-  boost::beast::flat_buffer buffer(kMaxUnparsedBytes);
+  HttpResponseReader::Buffer buffer(HttpResponseReader::kMaxBufferBytes);
   bool in_sync = true;
   for (int i = 0; !error && i <= kMaxStaleResponses; ++i) {
-    std::optional<ParsedResponse> parsed =
-        co_await ReadResponse(*connection, buffer, request.method == "HEAD");
-    if (!parsed) {
+    HttpResponseReader reader(m_budget, request.method == "HEAD");
+    co_await ReadResponse(*connection, buffer, reader);
+    if (!reader.complete()) {
+      result.fault = reader.fault();
       break;
     }
-    if (matches(parsed->response, reused)) {
+    HttpResponse response = reader.Release();
+    if (matches(response, reused)) {
       result.status = BackendCallStatus::kAnswered;
-      result.response = std::move(parsed->response);
-      if (parsed->keep_alive && in_sync && buffer.size() == 0 &&
+      result.response = std::move(response);
+      if (reader.keep_alive() && in_sync && buffer.size() == 0 &&
           !attempt.abort_reason()) {
         AddIdle(std::move(connection), result.response);
       }
@@ -178,38 +177,25 @@
   co_return result;
 }
 
-asio::awaitable<std::optional<BackendChannel::ParsedResponse>>
-BackendChannel::ReadResponse(Connection& connection,
-                             boost::beast::flat_buffer& buffer,
-                             bool without_body) {
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(SharedResponseBudget::kMaxBodyBytes);
-  parser.header_limit(SharedResponseBudget::kMaxHeadBytes);
-  parser.skip(without_body);
-  SharedResponseBudget::Share share(m_budget);
-  error_code error;
-  co_await http::async_read_header(
-      connection.socket, buffer, parser,
-      asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    co_return std::nullopt;
-  }
-  ParsedResponse parsed;
-  parsed.response = FromBeast(parser.get());
-  parser.eager(true);
-  while (!parser.is_done()) {
-    co_await http::async_read_some(
-        connection.socket, buffer, parser,
+asio::awaitable<void> BackendChannel::ReadResponse(
+    Connection& connection,
+    HttpResponseReader::Buffer& buffer,
+    HttpResponseReader& reader) {
+  reader.Read(buffer);
+  while (!reader.finished()) {
+    error_code error;
+    const size_t count = co_await connection.socket.async_read_some(
+        buffer.prepare(boost::beast::read_size(buffer, kMaxReadBytes)),
         asio::redirect_error(asio::use_awaitable, error));
-    if (error || !share.Grow(parser.get().body().size())) {
-      co_return std::nullopt;
+    buffer.commit(count);
+    if (!error) {
+      reader.Read(buffer);
+    } else if (error == asio::error::eof) {
+      reader.ReadEnd();
+    } else {
+      reader.BreakOff();
     }
   }
-  parsed.keep_alive = parser.get().keep_alive() && !parser.get().need_eof();
-  // The parser has added the fields of a trailer to those of the head, to which
-  // they do not belong.
-  parsed.response.body = std::move(parser.get().body());
-  co_return parsed;
 }
 
 void BackendChannel::CloseIdle() {
--- a/src/core/http.cc
+++ b/src/core/http.cc
@@ -5,6 +5,8 @@
 #include <cctype>
 #include <utility>
 
+#include "rosemarywinch/core/text_value.h"
+
 namespace rosemarywinch {
 
 bool SameHeaderName(std::string_view a, std::string_view b) {
@@ -16,13 +18,6 @@
 
 namespace {
 
-std::string_view WithoutBlanks(std::string_view text) {
-  const size_t first = text.find_first_not_of(" \t");
-  const size_t last = text.find_last_not_of(" \t");
-  return first == std::string_view::npos ? std::string_view()
-                                         : text.substr(first, last - first + 1);
-}
-
 // Returns whether a comma-separated list of header names contains `name`.
 bool ListContains(std::string_view list, std::string_view name) {
   while (!list.empty()) {
--- a/src/core/text_value.cc
+++ b/src/core/text_value.cc
@@ -47,6 +47,13 @@
   return Duration{static_cast<int64_t>(std::clamp(*number, -limit, limit))};
 }
 
+std::string_view WithoutBlanks(std::string_view text) {
+  const size_t first = text.find_first_not_of(" \t");
+  const size_t last = text.find_last_not_of(" \t");
+  return first == std::string_view::npos ? std::string_view()
+                                         : text.substr(first, last - first + 1);
+}
+
 boost::leaf::error_id FailBadValue(const FieldInfo& field,
                                    std::string_view text) {
   std::string detail(field.name);
--- a/src/programs/mesh/backend_proxy.cc
+++ b/src/programs/mesh/backend_proxy.cc
@@ -338,6 +338,11 @@
   HopResponse response;
   response.reached_backend = true;
   if (result.status != BackendCallStatus::kAnswered) {
+    if (result.fault != ResponseFault::kNone) {
+      LogRequestEvent("broken_response",
+                      {{"request", request.request_id},
+                       {"fault", std::string(NameOf(result.fault))}});
+    }
     response.outcome = HopOutcome::kUnknown;
     response.reason = ReasonOf(result.status);
     return response;
--- a/tests/support/mesh.h
+++ b/tests/support/mesh.h
@@ -27,7 +27,8 @@
 inline constexpr Duration kCallTimeout{5'000};
 
 // A backend server on the platform: returns the id of the request and the seal
-// header. Can be set to delay its responses or to return another request's id.
+// header. Can be set to delay its responses, and to send another request's id
+// or another status.
 class BackendStandIn {
  public:
   explicit BackendStandIn(const std::string& address)
@@ -61,7 +62,7 @@
   // Delay of requests whose path ends in "slow".
   std::atomic<int> slow_delay_ms{60'000};
   std::atomic<bool> wrong_id{false};
-  std::atomic<bool> misdirected{false};
+  std::atomic<int> status{200};
   std::atomic<int> abandoned{0};
 
  private:
@@ -86,7 +87,7 @@
     }
     abandoned += cancellation->cancelled() ? 1 : 0;
     HttpResponse response;
-    response.status = misdirected ? 421 : 200;
+    response.status = status;
     const std::string* id = request.headers.Find("X-Request-Id");
     response.headers.Add("X-Request-Id", wrong_id ? "another" : *id);
     response.headers.Add("X-Server-Seal", "seal");
--- a/tests/unit-cold-proxy.cpp
+++ b/tests/unit-cold-proxy.cpp
@@ -139,12 +139,12 @@
 BOOST_FIXTURE_TEST_CASE(a_replaced_server_gets_calls_after_its_report_only,
                         Fixture) {
   Report(0);
-  backend.misdirected = true;
+  backend.status = 421;
   // Not in the millisecond of the report, which may come after the answer.
   Call(10);
   Finish();
   BOOST_TEST(!proxy.Current().has_value());
-  backend.misdirected = false;
+  backend.status = 200;
   Call(0);
   Finish();
   BOOST_TEST(backend.Received().size() == 1u);
