Skip interim heads before an answer, in the mesh

Cause: BackendChannel knew one head for each request. Beast takes an interim response for a whole one, and the matcher looked at the id only.

Fix: ResponseHeadReader checks an interim head like any other, drops it and begins anew. A 101 stays a fault, as no request is sent with Upgrade.

The reader's header is formatted as well.

--- a/include/rosemarywinch/adapters/http_response_reader.h
+++ b/include/rosemarywinch/adapters/http_response_reader.h
@@ -64,8 +64,8 @@
   ResponseHeadReader m_head_reader;
   size_t m_head_bytes = 0;
   // Decodes the body once the head is complete.
-  std::optional<boost::beast::http::response_parser<
-      boost::beast::http::string_body>>
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
       m_body_parser;
   ResponseFault m_fault = ResponseFault::kNone;
 };
--- a/include/rosemarywinch/decisions/traffic/response_head.h
+++ b/include/rosemarywinch/decisions/traffic/response_head.h
@@ -32,21 +32,23 @@
 
 /// Reads the head of an HTTP/1.x response line by line, and accepts only what
 /// RFC 9112 allows a server to send: a later recipient could read anything else
-/// in another way. Knows no sockets.
+/// in another way. Interim heads (1xx), which may come before the final one,
+/// are checked and dropped; no request asks for a change of protocol (101).
+/// Knows no sockets.
 class ResponseHeadReader {
  public:
   /// Takes the next line, with its line end. Nothing may follow a fault or the
   /// line that completes the head.
   ResponseFault TakeLine(std::string_view line);
 
-  /// Returns whether the empty line that ends the head has been taken.
+  /// Returns whether the final head has been taken up to its empty line.
   bool complete() const { return m_complete; }
   const ResponseHead& head() const { return m_head; }
 
  private:
   ResponseFault TakeStatusLine(std::string_view line);
   ResponseFault TakeField(std::string_view line);
-  ResponseFault Complete();
+  ResponseFault TakeHeadEnd();
   ResponseFault ReadFraming();
 
   bool m_has_status = false;
--- a/src/decisions/traffic/response_head.cc
+++ b/src/decisions/traffic/response_head.cc
@@ -13,9 +13,16 @@
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kVersion = "HTTP/1.";
 constexpr size_t kStatusDigits = 3;
+constexpr int kFirstInterimStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kLastFinalStatus = 599;
 
+bool IsInterimStatus(int status) {
+  return status >= kFirstInterimStatus && status < kFirstFinalStatus &&
+         status != kSwitchingProtocols;
+}
+
 bool IsDigit(char byte) {
   return byte >= '0' && byte <= '9';
 }
@@ -83,7 +90,7 @@
   if (!ended) {
     return ResponseFault::kFieldValue;
   }
-  return line.empty() ? Complete() : TakeField(line);
+  return line.empty() ? TakeHeadEnd() : TakeField(line);
 }
 
 // HTTP/1.1 200 OK; the reason and the blank before it may be missing.
@@ -105,8 +112,9 @@
   m_has_status = true;
   m_head.minor_version = line[kVersion.size()] - '0';
   std::from_chars(status.data(), status.data() + status.size(), m_head.status);
-  return IsFinalStatus(m_head.status) ? ResponseFault::kNone
-                                      : ResponseFault::kStatus;
+  const bool expected =
+      IsInterimStatus(m_head.status) || IsFinalStatus(m_head.status);
+  return expected ? ResponseFault::kNone : ResponseFault::kStatus;
 }
 
 ResponseFault ResponseHeadReader::TakeField(std::string_view line) {
@@ -123,7 +131,12 @@
   return CheckField(name, value);
 }
 
-ResponseFault ResponseHeadReader::Complete() {
+ResponseFault ResponseHeadReader::TakeHeadEnd() {
+  if (IsInterimStatus(m_head.status)) {
+    m_head = {};
+    m_has_status = false;
+    return ResponseFault::kNone;
+  }
   m_complete = true;
   return ReadFraming();
 }
