Read answers on the own interface by the rule of the mesh

What callers saw, on the product's own interface: answers with a blank, a control byte or a delimiter in the name of a field were passed on with that line, and where that line was the length or the coding, the body was not the backend server's; so it was with folded lines, control bytes in values and reasons, lengths that are no number or two, codings other than chunked, statuses over 599 and odd versions. A chunk size such as 0x4 gave an empty body that passed as whole. Fields of a trailer counted as those of the head.

Cause: CurlChannel split the lines that libcurl hands out at the first colon and checked none; libcurl is lenient on heads, on framing and on chunk sizes.

Fix: CurlChannel gives the lines of the heads and the body, as it was transferred (CURLOPT_HTTP_TRANSFER_DECODING off), to HttpResponseReader, which the mesh reads with. libcurl still says where a response ends; one that is not complete there, or goes on, is lost or ends the use of its connection. A line that ends with a line feed alone, which libcurl takes and the mesh never took, is refused now on both.

The outcome of a broken answer is unknown, as of one that breaks off, and the error says what is wrong.

--- a/include/rosemarywinch/adapters/curl_channel.h
+++ b/include/rosemarywinch/adapters/curl_channel.h
@@ -14,6 +14,7 @@
 
 /// HTTP client on libcurl. Handles, and with them connections, are pooled by
 /// address; a handle serves one request at a time.
+/// Only complete and sound responses are returned, read by HttpResponseReader.
 /// The memory of unfinished responses is bounded; one without end is broken
 /// off.
 class CurlChannel : public HttpChannel {
--- a/src/adapters/curl_channel.cc
+++ b/src/adapters/curl_channel.cc
@@ -5,10 +5,13 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <boost/asio/buffer.hpp>
 #include <cerrno>
 #include <string_view>
 #include <utility>
 
+#include "rosemarywinch/adapters/http_response_reader.h"
+
 namespace rosemarywinch {
 
 namespace {
@@ -25,77 +28,39 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
-constexpr std::string_view kStatusLine = "HTTP/";
-constexpr long kFirstFinalStatus = 200;
 
 struct ListDeleter {
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
 using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
 
-// A response as far as it has arrived. libcurl reports success when a
-// connection ends within the head of a response.
+// A response as far as it has arrived. libcurl is only asked where the response
+// ends; it takes heads and chunks that are malformed.
 struct PartialResponse {
-  explicit PartialResponse(const std::shared_ptr<SharedResponseBudget>& shared)
-      : share(shared) {}
-
-  // Returns whether `bytes` more of the body may be kept.
-  bool TakeBody(uint64_t bytes) {
-    const uint64_t held = response.body.size() + bytes;
-    return held <= SharedResponseBudget::kMaxBodyBytes && share.Grow(held);
-  }
-
-  // Returns whether a line of `bytes` more in a head or a trailer may be kept.
-  bool TakeLine(uint64_t bytes) {
-    head_bytes += bytes;
-    return head_bytes <= SharedResponseBudget::kMaxHeadBytes;
-  }
+  PartialResponse(const std::shared_ptr<SharedResponseBudget>& budget,
+                  bool without_body)
+      : reader(budget, without_body) {}
 
-  HttpResponse response;
-  bool head_complete = false;
-  // Of all heads, the interim ones included, and of the trailer.
-  uint64_t head_bytes = 0;
-  SharedResponseBudget::Share share;
+  HttpResponseReader::Buffer buffer{HttpResponseReader::kMaxBufferBytes};
+  HttpResponseReader reader;
 };
 
 // Makes libcurl give a response up when a callback returns it.
 constexpr size_t kTakeNoMore = 0;
 
-size_t OnBody(char* data, size_t size, size_t count, void* target) {
+// Called for the lines of the heads, and for the body as it was transferred,
+// with the chunk headers and the trailer.
+size_t OnBytes(char* data, size_t size, size_t count, void* target) {
   auto& partial = *static_cast<PartialResponse*>(target);
-  if (!partial.TakeBody(size * count)) {
+  HttpResponseReader::Buffer& buffer = partial.buffer;
+  const size_t bytes = size * count;
+  if (bytes > buffer.max_size() - buffer.size()) {
     return kTakeNoMore;
   }
-  partial.response.body.append(data, size * count);
-  return size * count;
-}
-
-std::string_view Trimmed(std::string_view text) {
-  const size_t first = text.find_first_not_of(" \t");
-  const size_t last = text.find_last_not_of(" \t\r\n");
-  return first == std::string_view::npos ? std::string_view()
-                                         : text.substr(first, last - first + 1);
-}
-
-// Called for each line of a head, its empty last line included. Interim
-// responses have heads of their own.
-size_t OnHeader(char* data, size_t size, size_t count, void* target) {
-  auto& partial = *static_cast<PartialResponse*>(target);
-  const std::string_view line(data, size * count);
-  const size_t colon = line.find(':');
-  if (!partial.TakeLine(line.size())) {
-    return kTakeNoMore;
-  }
-  if (line.starts_with(kStatusLine)) {
-    partial.response = {};
-    partial.head_complete = false;
-  } else if (line == "\r\n" || line == "\n") {
-    partial.head_complete = true;
-  } else if (colon != std::string_view::npos) {
-    partial.response.headers.Add(std::string(line.substr(0, colon)),
-                                 std::string(Trimmed(line.substr(colon + 1))));
-  }
-  return size * count;
+  buffer.commit(boost::asio::buffer_copy(buffer.prepare(bytes),
+                                         boost::asio::buffer(data, bytes)));
+  partial.reader.Read(buffer);
+  return partial.reader.fault() == ResponseFault::kNone ? bytes : kTakeNoMore;
 }
 
 int OnProgress(void* options, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
@@ -168,6 +133,10 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+Error ErrorOf(const std::string& address, std::string_view cause) {
+  return {ErrorId::kUnreachable, address + ": " + std::string(cause)};
+}
+
 bool RequestWasSent(CURL* curl, CURLcode code) {
   if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) {
     return false;
@@ -199,7 +168,7 @@
     url += "?" + request.query;
   }
   const HeaderList headers = MakeHeaders(request);
-  PartialResponse partial(m_budget);
+  PartialResponse partial(m_budget, request.method == "HEAD");
   curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
   curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
@@ -213,32 +182,33 @@
   curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT,
                    options.fresh_connection ? 1L : 0L);
   curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers.get());
-  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(curl, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &OnBytes);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, &partial);
-  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &OnBytes);
   curl_easy_setopt(curl, CURLOPT_HEADERDATA, &partial);
   curl_easy_setopt(curl, CURLOPT_NOPROGRESS, options.keep_waiting ? 0L : 1L);
   curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, &OnProgress);
   curl_easy_setopt(curl, CURLOPT_XFERINFODATA, &options);
   SetBody(curl, request);
   const CURLcode code = curl_easy_perform(curl);
+  HttpResponseReader& reader = partial.reader;
+  if (code != CURLE_OK && !RequestWasSent(curl, code)) {
+    return NotSent{ErrorOf(address, curl_easy_strerror(code))};
+  }
+  if (code == CURLE_OK) {
+    reader.ReadEnd();
+  }
+  if (reader.fault() != ResponseFault::kNone) {
+    return ResponseLost{ErrorOf(address, EntryOf(reader.fault()).text)};
+  }
   if (code != CURLE_OK) {
-    Error error{ErrorId::kUnreachable,
-                address + ": " + curl_easy_strerror(code)};
-    if (RequestWasSent(curl, code)) {
-      return ResponseLost{std::move(error)};
-    }
-    return NotSent{std::move(error)};
+    return ResponseLost{ErrorOf(address, curl_easy_strerror(code))};
   }
-  long status = 0;
-  curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-  if (!partial.head_complete || status < kFirstFinalStatus) {
-    return ResponseLost{
-        {ErrorId::kUnreachable, address + ": the response breaks off"}};
+  if (reader.keep_alive() && partial.buffer.size() == 0) {
+    ReleaseHandle(address, std::move(handle));
   }
-  partial.response.status = static_cast<int>(status);
-  ReleaseHandle(address, std::move(handle));
-  return std::move(partial.response);
+  return reader.Release();
 }
 
 CurlChannel::Handle CurlChannel::AcquireHandle(const std::string& address) {
