Check the answers that another node passes on

Cause: HopClient decoded the message and looked at nothing in it; OutboundProxy writes the status and the fields as they came over the link.

Fix: HopClient lays the rule of ResponseHeadReader on the decoded answer: final status, names that are tokens, values without control characters. A broken one becomes an unknown outcome that reached its backend server, so that an at-most-once request is not sent again; what the node said of its load stays.

Evidence: unit-broken-answers an_unchecked_answer_of_another_node_is_no_answer sends four broken answers over a link; its 8 checks of them fail before and pass now. Framing is not checked there: the body has been decoded already.

--- a/include/rosemarywinch/decisions/mesh/answer_check.h
+++ b/include/rosemarywinch/decisions/mesh/answer_check.h
@@ -1,6 +1,9 @@
 #ifndef ROSEMARYWINCH_DECISIONS_MESH_ANSWER_CHECK_H_
 #define ROSEMARYWINCH_DECISIONS_MESH_ANSWER_CHECK_H_
 
+#include <algorithm>
+
+#include "rosemarywinch/decisions/traffic/response_head.h"
 #include "rosemarywinch/interfaces/mesh_protocol.h"
 
 namespace rosemarywinch {
@@ -15,6 +18,17 @@
   return answer.belongs || (answer.not_run && answer.anonymous && !reused);
 }
 
+/// Returns whether the answer that another node passes on could have been sent
+/// by a backend server: its status is final and its fields are sound.
+inline bool IsSoundAnswer(const HopResponse& response) {
+  return IsFinalStatus(static_cast<int>(response.status)) &&
+         std::all_of(response.headers.begin(), response.headers.end(),
+                     [](const HeaderField& field) {
+                       return CheckField(field.name, field.value) ==
+                              ResponseFault::kNone;
+                     });
+}
+
 }  // namespace rosemarywinch
 
 #endif  // ROSEMARYWINCH_DECISIONS_MESH_ANSWER_CHECK_H_
--- a/src/programs/mesh/hop_client.cc
+++ b/src/programs/mesh/hop_client.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "rosemarywinch/adapters/wire_codec.h"
+#include "rosemarywinch/decisions/mesh/answer_check.h"
 
 namespace rosemarywinch {
 
@@ -20,12 +21,24 @@
   return response;
 }
 
+// A node of an earlier version passes on answers that it has not checked. The
+// request has run, but what it returned is not known.
+HopResponse WithoutBrokenAnswer(HopResponse response) {
+  if (response.outcome == HopOutcome::kAnswered && !IsSoundAnswer(response)) {
+    response.outcome = HopOutcome::kUnknown;
+    response.reason = ErrorId::kBackendFailed;
+    response.headers.clear();
+    response.body.clear();
+  }
+  return response;
+}
+
 // A node with another protocol version cannot read the request and refuses it.
 HopResponse Decode(const std::string& payload) {
   Outcome<HopResponse> decoded =
       Capture([&] { return FromWire<HopResponse>(payload); });
   if (auto* response = std::get_if<HopResponse>(&decoded)) {
-    return std::move(*response);
+    return WithoutBrokenAnswer(std::move(*response));
   }
   if (std::get<Error>(decoded).id == ErrorId::kProtocolVersion) {
     return FailedResponse(HopOutcome::kNotRun, ErrorId::kProtocolVersion);
--- a/tests/unit-broken-answers.cpp
+++ b/tests/unit-broken-answers.cpp
@@ -1,13 +1,17 @@
 #define BOOST_TEST_MODULE broken_answers
 #include <boost/test/unit_test.hpp>
 
+#include <boost/asio/use_future.hpp>
 #include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "rosemarywinch/adapters/curl_channel.h"
+#include "rosemarywinch/adapters/wire_codec.h"
+#include "rosemarywinch/programs/mesh/hop_client.h"
 #include "support/backend_caller.h"
+#include "support/fakes.h"
 #include "support/scripted_peer.h"
 
 // Pattern: a backend server in trouble. It sends answers that are no HTTP,
@@ -104,6 +108,37 @@
   return texts;
 }
 
+// Returns what a node makes of a reply that another node sends it.
+HopResponse CallNode(const HopResponse& reply) {
+  asio::io_context context;
+  FrameListener other(
+      context,
+      [&](const std::shared_ptr<FrameLink>& link, const Frame& frame) {
+        link->Send({FrameType::kHopResponse, frame.exchange, ToWire(reply)});
+      },
+      [](const std::shared_ptr<FrameLink>&) {});
+  Member member;
+  member.node = "other";
+  member.address = "127.0.0.1:" + std::to_string(test::FreePort());
+  BOOST_REQUIRE(other.Start(member.address));
+  WireProtocol protocol;
+  test::FakeClock clock;
+  BackendProxy local("127.0.0.1:1", {1'000}, 1, protocol, clock, "shop");
+  LinkClient links(context);
+  HopClient hops("self", "dc", local, links, clock);
+  HopRequest request;
+  request.time_left = {5'000};
+  auto response = asio::co_spawn(
+      context,
+      hops.Call(member, request, std::make_shared<CancellationToken>()),
+      asio::use_future);
+  while (response.wait_for(std::chrono::seconds(0)) !=
+         std::future_status::ready) {
+    context.run_one();
+  }
+  return response.get();
+}
+
 }  // namespace
 
 // Failure: an answer with the status 000 reached its client.
@@ -288,3 +323,29 @@
     BOOST_TEST(peer.connections() == 2 * i);
   }
 }
+
+// Failure: a node of an earlier version passed on an answer that it had not
+// checked, and this node gave it to the client.
+BOOST_AUTO_TEST_CASE(an_unchecked_answer_of_another_node_is_no_answer) {
+  HopResponse sound;
+  sound.status = 200;
+  sound.headers = {{"X-A", "b"}};
+  sound.has_load = true;
+  BOOST_TEST((CallNode(sound).outcome == HopOutcome::kAnswered));
+  HopResponse status = sound;
+  status.status = 0;
+  HopResponse interim = sound;
+  interim.status = 103;
+  HopResponse name = sound;
+  name.headers.push_back({"X A", "b"});
+  HopResponse value = sound;
+  value.headers.push_back({"X-B", "b\r\nX-C: d"});
+  for (HopResponse broken : {status, interim, name, value}) {
+    broken.reached_backend = true;
+    const HopResponse response = CallNode(broken);
+    BOOST_TEST((response.outcome == HopOutcome::kUnknown));
+    BOOST_TEST(response.reached_backend);
+    BOOST_TEST(response.has_load);
+    BOOST_TEST(response.headers.empty());
+  }
+}
