Take a result of JSON-RPC only with the status 200

What callers saw: nothing yet; found while all readers of answers were checked. A response with an error status whose body has a member "result" counted as the result of a call to control, or as the receipt of a message to a replica.

Cause: CallJsonRpc read the body and never the status.

Fix: another status than 200, which the server uses for errors too, is kUnreachable with the status in its detail.

Evidence: unit-json-codec a_result_comes_with_the_status_200 fails before (a 201 passes as a result) and passes now.

--- a/include/rosemarywinch/adapters/json_rpc.h
+++ b/include/rosemarywinch/adapters/json_rpc.h
@@ -38,7 +38,8 @@
 };
 
 /// Sends one call and returns its result as JSON.
-/// Errors: kUnreachable, kMalformedMessage and those of the method.
+/// Errors: kUnreachable, also for a response whose status is not 200;
+/// kMalformedMessage and those of the method.
 Result<Json> CallJsonRpc(HttpChannel& channel,
                          const std::string& address,
                          const std::string& method,
--- a/src/adapters/json_rpc.cc
+++ b/src/adapters/json_rpc.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr const char* kVersion = "2.0";
+// The server sends errors with this status too.
+constexpr int kReplyStatus = 200;
 
 Json EncodeError(const Error& error) {
   return {{"code", static_cast<int>(error.id)},
@@ -83,7 +85,12 @@
   if (const auto* lost = std::get_if<ResponseLost>(&result)) {
     return boost::leaf::new_error(lost->error);
   }
-  BOOST_LEAF_AUTO(reply, ParseJson(std::get<HttpResponse>(result).body));
+  const HttpResponse& response = std::get<HttpResponse>(result);
+  if (response.status != kReplyStatus) {
+    return Fail(ErrorId::kUnreachable,
+                address + ": status " + std::to_string(response.status));
+  }
+  BOOST_LEAF_AUTO(reply, ParseJson(response.body));
   if (reply.is_object() && reply.contains("error")) {
     return boost::leaf::new_error(DecodeError(reply["error"]));
   }
--- a/tests/unit-json-codec.cpp
+++ b/tests/unit-json-codec.cpp
@@ -295,6 +295,26 @@
   BOOST_TEST(answer["id"].get<int>() == 5);
 }
 
+// Failure: a response with an error status counted as the result of a call.
+BOOST_AUTO_TEST_CASE(a_result_comes_with_the_status_200) {
+  test::MockChannel channel;
+  HttpResponse reply{200, {}, "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":7}"};
+  ALLOW_CALL(channel, Send(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+      .LR_RETURN(HttpResult(reply));
+  const auto call = [&] {
+    return Capture([&] {
+      return CallJsonRpc(channel, "c1:1", "node.poll", Json::object(), {100});
+    });
+  };
+  BOOST_TEST(std::get<Json>(call()).get<int>() == 7);
+  for (const int status : {201, 404, 500, 503}) {
+    reply.status = status;
+    const Outcome<Json> outcome = call();
+    BOOST_REQUIRE(std::holds_alternative<Error>(outcome));
+    BOOST_TEST((std::get<Error>(outcome).id == ErrorId::kUnreachable));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(call_reports_round_trip_through_http) {
   const CallReport refused{
       NotRun{{ErrorId::kOverloaded, "shop"}, Duration{1500}}, 2, {7}};
