Take no answer of a node from an error page

What callers saw: nothing yet; found while all readers of answers were checked. Where another process listens at a node's address, the body of its error page was handed to a caller as the id for its at-most-once request, and a body "yes" of an error would have told such a request "not run".

Cause: Forwarder::QueryPeer compared the body and never the status; nodes answer all queries with 200.

Fix: another status is no answer, as if nothing had come.

Evidence: unit-forwarder an_error_of_a_peer_answers_no_query: both checks fail before and pass now.

--- a/src/programs/forwarder.cc
+++ b/src/programs/forwarder.cc
@@ -16,6 +16,7 @@
 // Time without a response after which the other node is asked whether it knows
 // of the attempt.
 constexpr Duration kAttemptCheckDelay{1500};
+constexpr int kQueryAnswered = 200;
 constexpr const char* kYes = "yes";
 constexpr const char* kNo = "no";
 
@@ -249,7 +250,8 @@
       member.address, HttpRequestBuilder("GET", path).Query(argument).Build(),
       HttpSendOptionsBuilder(kPeerQueryTimeout).FreshConnection().Build());
   const auto* response = std::get_if<HttpResponse>(&result);
-  if (response == nullptr || response->body == kNo) {
+  if (response == nullptr || response->status != kQueryAnswered ||
+      response->body == kNo) {
     return std::nullopt;
   }
   return response->body;
--- a/tests/unit-forwarder.cpp
+++ b/tests/unit-forwarder.cpp
@@ -113,6 +113,23 @@
   BOOST_TEST(std::holds_alternative<NotRun>(report.outcome));
 }
 
+// Failure: an error page of another process at a node's address was handed to a
+// caller as the id for its request, or counted as a yes.
+BOOST_FIXTURE_TEST_CASE(an_error_of_a_peer_answers_no_query, Fixture) {
+  ALLOW_CALL(channel, Send(_, _, _))
+      .WITH(_2.path == Forwarder::kOfferPath)
+      .RETURN(HttpResponse{404, {}, "no such page"});
+  BOOST_TEST(std::holds_alternative<Error>(
+      Capture([&] { return forwarder.ObtainId("shop", "acme"); })));
+  envelope.at_most_once = true;
+  ALLOW_CALL(channel, Send(_, _, _))
+      .WITH(_2.path == Forwarder::kFencePath)
+      .RETURN(HttpResponse{500, {}, "yes"});
+  ALLOW_CALL(channel, Send(_, _, _)).WITH(_2.path == "/").RETURN(kLost);
+  const CallReport report = forwarder.Forward(envelope, request, "m1");
+  BOOST_TEST(std::holds_alternative<UnknownOutcome>(report.outcome));
+}
+
 BOOST_FIXTURE_TEST_CASE(waits_only_for_a_node_that_knows_the_attempt, Fixture) {
   std::string known = "yes";
   bool goes_on = false;
