Take a reply over a link only from the peer that was asked

What callers saw: nothing yet; found while all readers of answers were checked. A frame of any type and from any link ended the open exchange whose number it carried, so that a confused peer could answer in place of another.

Cause: LinkClient looked up the number alone.

Fix: the frame must come over the link of the exchange and be the reply to its type: a hop response to a hop request, a poll reply to a poll request. Other frames are dropped, and the exchange waits on.

Evidence: unit-link a_reply_comes_from_the_peer_that_was_asked: both checks fail before (a stranger's reply, and one of another type) and pass now; the test ran three times.

--- a/include/rosemarywinch/adapters/async/link_client.h
+++ b/include/rosemarywinch/adapters/async/link_client.h
@@ -73,7 +73,7 @@
   };
 
   std::shared_ptr<FrameLink> GetOrConnect(const std::string& address);
-  void OnFrame(Frame frame);
+  void OnFrame(const std::shared_ptr<FrameLink>& from, Frame frame);
   void OnClosed(const std::string& address,
                 const std::shared_ptr<FrameLink>& link);
 
--- a/src/adapters/async/link_client.cc
+++ b/src/adapters/async/link_client.cc
@@ -11,6 +11,11 @@
   return std::to_string(exchange);
 }
 
+FrameType ReplyTo(FrameType request) {
+  return request == FrameType::kPollRequest ? FrameType::kPollReply
+                                            : FrameType::kHopResponse;
+}
+
 // Returns what became of the open exchanges of a link that has closed.
 ExchangeStatus LostStatus(const FrameLink& link) {
   if (!link.connected()) {
@@ -94,8 +99,8 @@
     if (link == nullptr) {
       link = std::make_shared<FrameLink>(
           m_context,
-          [this](const std::shared_ptr<FrameLink>&, Frame frame) {
-            OnFrame(std::move(frame));
+          [this](const std::shared_ptr<FrameLink>& from, Frame frame) {
+            OnFrame(from, std::move(frame));
           },
           [this, address](const std::shared_ptr<FrameLink>& closed) {
             OnClosed(address, closed);
@@ -107,11 +112,13 @@
   });
 }
 
-void LinkClient::OnFrame(Frame frame) {
+// Only the peer that was asked may answer, with a reply to what it was asked.
+void LinkClient::OnFrame(const std::shared_ptr<FrameLink>& from, Frame frame) {
   std::shared_ptr<Reply> reply;
   m_exchanges.With(ShardKey(frame.exchange), [&](ExchangeShard& shard) {
     const auto found = shard.open.find(frame.exchange);
-    if (found != shard.open.end()) {
+    if (found != shard.open.end() && found->second.link == from &&
+        ReplyTo(found->second.type) == frame.type) {
       reply = found->second.reply;
     }
   });
--- a/tests/unit-link.cpp
+++ b/tests/unit-link.cpp
@@ -175,6 +175,45 @@
   BOOST_TEST(call(kLarge / 4) == kLarge / 4);
 }
 
+// Failure: a frame of another type, or from a peer that was not asked, passed
+// as the reply to a request.
+BOOST_AUTO_TEST_CASE(a_reply_comes_from_the_peer_that_was_asked) {
+  asio::io_context context;
+  const std::string silent = "127.0.0.1:" + std::to_string(test::FreePort());
+  const std::string odd = "127.0.0.1:" + std::to_string(test::FreePort());
+  FrameListener silent_peer(
+      context, [](const auto&, const Frame&) {}, [](const auto&) {});
+  FrameListener odd_peer(
+      context,
+      [](const std::shared_ptr<FrameLink>& link, const Frame& frame) {
+        const uint64_t before = frame.exchange - 1;
+        link->Send({FrameType::kHopResponse, before, "to another peer's"});
+        link->Send({FrameType::kPollReply, frame.exchange, "another type"});
+        link->Send({FrameType::kHopResponse, frame.exchange, "done"});
+      },
+      [](const auto&) {});
+  BOOST_REQUIRE(silent_peer.Start(silent));
+  BOOST_REQUIRE(odd_peer.Start(odd));
+  LinkClient links(context);
+  const auto call = [&](const std::string& address, Duration limit) {
+    return asio::co_spawn(
+        context,
+        links.Exchange(address, FrameType::kHopRequest, "request", limit,
+                       std::make_shared<CancellationToken>()),
+        asio::use_future);
+  };
+  auto unanswered = call(silent, Duration{500});
+  auto answered = call(odd, kLimit);
+  for (const auto* result : {&unanswered, &answered}) {
+    while (result->wait_for(std::chrono::seconds(0)) !=
+           std::future_status::ready) {
+      context.run_one();
+    }
+  }
+  BOOST_TEST((unanswered.get().status == ExchangeStatus::kTimedOut));
+  BOOST_TEST(answered.get().payload == "done");
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_link_is_used_again) {
   LinkFixture fixture(Duration{0});
   BOOST_TEST((fixture.Call() == ExchangeStatus::kReplied));
