Test that a broken answer is not kept for its idempotency key

On the code as it was, an answer with a blank in the name of a field was stored as the answer to the id, and handed out again: both checks failed. Since CurlChannel counts it as lost, its outcome is stored as unknown and the request does not run again. No change of the product.

--- a/tests/unit-broken-answers.cpp
+++ b/tests/unit-broken-answers.cpp
@@ -9,6 +9,7 @@
 
 #include "rosemarywinch/adapters/curl_channel.h"
 #include "rosemarywinch/adapters/wire_codec.h"
+#include "rosemarywinch/programs/backend_dispatcher.h"
 #include "rosemarywinch/programs/mesh/hop_client.h"
 #include "support/backend_caller.h"
 #include "support/fakes.h"
@@ -324,6 +325,32 @@
   }
 }
 
+// A broken answer may come from a request that ran: it is not kept as the
+// answer to its id, and the request does not run again under that id.
+BOOST_AUTO_TEST_CASE(a_broken_answer_is_not_kept_for_its_idempotency_key) {
+  std::atomic<int> runs = 0;
+  ScriptedPeer peer([&](PeerConnection& connection) {
+    connection.ReadRequest();
+    const std::string line = runs++ == 0 ? "X A: b\r\n" : "X-A: b\r\n";
+    connection.Write(kOk + line + kSized + kBody);
+  });
+  test::FakeClock clock;
+  test::SeededRandom random{1};
+  CurlChannel channel;
+  BackendDispatcher dispatcher("self", NodeSettings{}, clock, random, channel);
+  dispatcher.Announce({"shop", peer.Address(), BackendState::kReady, 1});
+  HopEnvelope envelope;
+  envelope.service = "shop";
+  envelope.timeout = {5'000};
+  envelope.at_most_once = true;
+  envelope.request_id = dispatcher.IssueId("shop", "acme").value();
+  for (int i = 0; i < 2; ++i) {
+    const CallReport report = dispatcher.Run(envelope, HttpRequest{});
+    BOOST_TEST(std::holds_alternative<UnknownOutcome>(report.outcome));
+    BOOST_TEST(runs == 1);
+  }
+}
+
 // Failure: a node of an earlier version passed on an answer that it had not
 // checked, and this node gave it to the client.
 BOOST_AUTO_TEST_CASE(an_unchecked_answer_of_another_node_is_no_answer) {
