Let the test client read answers by the rule of the product

RawClient took whatever Beast parses, so that a node which wrote a status 000 or a broken field would have passed its tests. It reads with HttpResponseReader now. The conversion of Beast's responses, which only the test client used any more, goes; the one of requests needs no template.

--- a/include/rosemarywinch/adapters/async/http_serialization.h
+++ b/include/rosemarywinch/adapters/async/http_serialization.h
@@ -12,15 +12,10 @@
 
 using BeastRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
-using BeastResponse =
-    boost::beast::http::response<boost::beast::http::string_body>;
 
 /// Converts a parsed request.
 HttpRequest FromBeast(BeastRequest message);
 
-/// Converts a parsed response.
-HttpResponse FromBeast(BeastResponse message);
-
 /// How a response is sent on its connection.
 struct ResponseFraming {
   bool close = false;
--- a/src/adapters/async/http_serialization.cc
+++ b/src/adapters/async/http_serialization.cc
@@ -14,15 +14,6 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-template <typename Fields>
-HttpHeaders HeadersOf(const Fields& fields) {
-  HttpHeaders headers;
-  for (const auto& field : fields) {
-    headers.Add(std::string(field.name_string()), std::string(field.value()));
-  }
-  return headers;
-}
-
 // Headers that apply to one connection only or are written by the serializer,
 // in addition to those listed in `Connection`.
 constexpr std::array<std::string_view, 9> kHopByHopHeaders{
@@ -60,19 +51,14 @@
   if (mark != std::string::npos) {
     request.query = request.target.substr(mark + 1);
   }
-  request.headers = HeadersOf(message);
+  for (const auto& field : message) {
+    request.headers.Add(std::string(field.name_string()),
+                        std::string(field.value()));
+  }
   request.body = std::move(message.body());
   return request;
 }
 
-HttpResponse FromBeast(BeastResponse message) {
-  HttpResponse response;
-  response.status = static_cast<int>(message.result_int());
-  response.headers = HeadersOf(message);
-  response.body = std::move(message.body());
-  return response;
-}
-
 std::string SerializeResponse(const HttpResponse& response,
                               ResponseFraming framing) {
   const auto reason =
--- a/tests/support/raw_client.h
+++ b/tests/support/raw_client.h
@@ -4,13 +4,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <memory>
 #include <string>
 
 #include "rosemarywinch/adapters/async/http_serialization.h"
 #include "rosemarywinch/adapters/async/net.h"
+#include "rosemarywinch/adapters/http_response_reader.h"
 
 namespace rosemarywinch::test {
 
@@ -36,18 +35,30 @@
   }
 
   // Returns the next response. Its status is 0 if the connection ended without
-  // a complete one.
+  // a complete one, or if it is broken.
   HttpResponse Read() {
-    BeastResponse response;
-    boost::beast::http::read(m_socket, m_buffer, response, m_error);
-    return m_error ? HttpResponse{0, {}, "", false}
-                   : FromBeast(std::move(response));
+    HttpResponseReader reader(m_budget, /*without_body=*/false);
+    reader.Read(m_buffer);
+    while (!reader.finished() && !m_error) {
+      constexpr size_t kReadBytes = 16'384;
+      m_buffer.commit(
+          m_socket.read_some(m_buffer.prepare(kReadBytes), m_error));
+      if (m_error == boost::asio::error::eof) {
+        reader.ReadEnd();
+      } else {
+        reader.Read(m_buffer);
+      }
+    }
+    return reader.complete() ? reader.Release()
+                             : HttpResponse{0, {}, "", false};
   }
 
  private:
   boost::asio::io_context m_context;
   Tcp::socket m_socket;
-  boost::beast::flat_buffer m_buffer;
+  HttpResponseReader::Buffer m_buffer;
+  const std::shared_ptr<SharedResponseBudget> m_budget =
+      std::make_shared<SharedResponseBudget>();
   boost::system::error_code m_error;
 };
 
