Call no response broken that was given up

BackendChannel noted the fault "breaks off" also when the time limit expired or the caller left while a response was read, so that the log line broken_response would have blamed the backend server for them. It notes a fault now only if the attempt was not given up.

--- a/include/rosemarywinch/interfaces/backend_server.h
+++ b/include/rosemarywinch/interfaces/backend_server.h
@@ -24,8 +24,8 @@
 struct BackendResult {
   BackendCallStatus status = BackendCallStatus::kNotSent;
   HttpResponse response;
-  /// What is wrong with the response that was read last, if kBroken follows
-  /// from it.
+  /// What is wrong with the response that was read last. kNone if none was
+  /// broken, for instance if the time limit expired while it was read.
   ResponseFault fault = ResponseFault::kNone;
   /// The connection was refused: nothing listens at the address.
   bool refused = false;
--- a/src/adapters/async/backend_channel.cc
+++ b/src/adapters/async/backend_channel.cc
@@ -158,7 +158,9 @@
     HttpResponseReader reader(m_budget, request.method == "HEAD");
     co_await ReadResponse(*connection, buffer, reader);
     if (!reader.complete()) {
-      result.fault = reader.fault();
+      if (!attempt.abort_reason()) {
+        result.fault = reader.fault();
+      }
       break;
     }
     HttpResponse response = reader.Release();
