Test answers that come byte by byte, and a size of 0x4 alone

An answer in chunks behind an interim head, read one byte at a time, is read whole, and bytes behind it stay in the buffer.

--- a/tests/unit-broken-answers.cpp
+++ b/tests/unit-broken-answers.cpp
@@ -229,7 +229,7 @@
 BOOST_AUTO_TEST_CASE(a_malformed_chunk_is_no_answer) {
   std::vector<std::string> framings;
   for (const char* chunks :
-       {"0x4\r\nbody\r\n0\r\n\r\n", "4x\r\nbody\r\n0\r\n\r\n",
+       {"0x4\r\nbody\r\n0\r\n\r\n", "0x4\r\n\r\n", "4x\r\nbody\r\n0\r\n\r\n",
         "+4\r\nbody\r\n0\r\n\r\n", " 4\r\nbody\r\n0\r\n\r\n",
         "-4\r\nbody\r\n0\r\n\r\n", "\r\nbody\r\n0\r\n\r\n",
         "4\r\nbody0\r\n\r\n", "4\r\nbody\r\nx\r\n\r\n",
@@ -307,6 +307,26 @@
   }
 }
 
+// Failure guarded against: what is split between two reads is lost or read
+// twice, or bytes behind the answer are taken for a part of it.
+BOOST_AUTO_TEST_CASE(an_answer_in_single_bytes_is_read_whole) {
+  const std::string text = "HTTP/1.1 103 Hints\r\n" + kOwn + "\r\n" + kOk +
+                           kOwn + kChunked +
+                           "\r\n2;a=b\r\nbo\r\n2\r\ndy\r\n0\r\nX-T: b\r\n\r\n";
+  HttpResponseReader reader(std::make_shared<SharedResponseBudget>(),
+                            /*without_body=*/false);
+  HttpResponseReader::Buffer buffer(HttpResponseReader::kMaxBufferBytes);
+  for (const char byte : text + "HT") {
+    buffer.commit(asio::buffer_copy(buffer.prepare(1), asio::buffer(&byte, 1)));
+    reader.Read(buffer);
+  }
+  BOOST_REQUIRE(reader.complete());
+  BOOST_TEST(buffer.size() == 2u);
+  const HttpResponse response = reader.Release();
+  BOOST_TEST(response.body == "body");
+  BOOST_TEST(response.headers.all().size() == 3u);
+}
+
 // The connection of a broken answer is not used again.
 BOOST_AUTO_TEST_CASE(a_broken_answer_ends_the_use_of_its_connection) {
   ScriptedPeer peer([](PeerConnection& connection) {
