Say precisely which heads of responses are accepted

The comment of ResponseHeadReader left out the two forms that are accepted beyond RFC 9112, and the text of the framing fault said that a length must not be stated twice; it may, alike. Comment and text only.

--- a/gen/rosemarywinch/schema/response.h
+++ b/gen/rosemarywinch/schema/response.h
@@ -42,7 +42,7 @@
     {ResponseFault::kLineFolding, "line_folding",
      "a header line continues the one before", "", 0},
     {ResponseFault::kFraming, "framing",
-     "the length of the body is malformed or stated twice", "", 0},
+     "the length of the body is malformed or stated in two ways", "", 0},
     {ResponseFault::kBody, "body", "the chunks or the trailer are malformed",
      "", 0},
     {ResponseFault::kTooLarge, "too_large",
--- a/include/rosemarywinch/decisions/traffic/response_head.h
+++ b/include/rosemarywinch/decisions/traffic/response_head.h
@@ -31,10 +31,10 @@
 };
 
 /// Reads the head of an HTTP/1.x response line by line, and accepts only what
-/// RFC 9112 allows a server to send: a later recipient could read anything else
-/// in another way. Interim heads (1xx), which may come before the final one,
-/// are checked and dropped; no request asks for a change of protocol (101).
-/// Knows no sockets.
+/// can be read in one way: what RFC 9112 allows a server to send, a status line
+/// without a reason and the blank before it, and a length that is repeated.
+/// Interim heads (1xx), which may come before the final one, are checked and
+/// dropped; no request asks for a change of protocol (101). Knows no sockets.
 class ResponseHeadReader {
  public:
   /// Takes the next line, with its line end. Nothing may follow a fault or the
