mesh: an empty table of client accounts admits no key

Cause: the schema held the accounts as a map, so that an empty table could not be told from an absent one, and CheckEntry() took both for "no keys needed". It then left out the check of the lease, too.

Ruled out: that nodes don't learn of the version, since a key that was refused before is accepted after it; a copy of the old key at the nodes, since any other key passes as well.

Change: FieldRule.tracks_presence makes a map of the schema a std::optional; the accounts use it, and keys are required where the table is there. Without the table no key is needed, as the platform's pages say. `mesh check` reports a table without keys, and a table that comes or goes.

--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -279,7 +279,7 @@
   uint64_t base_version = 0;
   std::map<std::string, RouteSpec> routes;
   std::map<std::string, ServiceSpec> services;
-  std::map<std::string, AccountSpec> accounts;
+  std::optional<std::map<std::string, AccountSpec>> accounts;
   CallerLimits limits;
 
   bool operator==(const Configuration&) const = default;
--- a/include/rosemarywinch/decisions/mesh/mesh_config.h
+++ b/include/rosemarywinch/decisions/mesh/mesh_config.h
@@ -24,6 +24,11 @@
   const std::string& SelectService(double point) const;
 };
 
+/// Returns the client accounts of a configuration; none if it has no table of
+/// them.
+const std::map<std::string, AccountSpec>& AccountsOf(
+    const Configuration& configuration);
+
 /// The client account of a key.
 struct MeshAccount {
   std::string name;
@@ -52,8 +57,9 @@
   bool HasService(const std::string& name) const;
   /// Returns the settings of a service; the defaults if it is unknown.
   ServiceSpec SettingsOf(const std::string& service) const;
-  /// Returns true if requests on routes that are not open need a key.
-  bool HasAccounts() const { return !m_configuration.accounts.empty(); }
+  /// Returns whether requests on routes that are not open need a key: they do
+  /// if the configuration has a table of accounts. An empty one admits no key.
+  bool RequiresKeys() const { return m_configuration.accounts.has_value(); }
   uint64_t version() const { return m_configuration.version; }
   const CallerLimits& limits() const { return m_configuration.limits; }
   const std::map<std::string, ServiceSpec>& services() const {
--- a/src/decisions/mesh/config_check.cc
+++ b/src/decisions/mesh/config_check.cc
@@ -17,6 +17,9 @@
 
 using Findings = std::vector<ConfigFinding>;
 
+// The table of accounts as an entry of the report.
+constexpr const char* kAccountsEntry = "accounts";
+
 void Add(Findings& findings,
          FindingKind kind,
          const std::string& entry,
@@ -70,15 +73,15 @@
     AddErrorOf(findings, "service " + name, single);
   }
   single.services.clear();
-  for (const auto& [name, spec] : candidate.accounts) {
-    single.accounts = {{name, spec}};
+  for (const auto& [name, spec] : AccountsOf(candidate)) {
+    single.accounts = {{{name, spec}}};
     AddErrorOf(findings, "account " + name, single);
   }
 }
 
 void CheckSharedKeys(Findings& findings, const Configuration& candidate) {
   std::map<std::string, std::string> owners;
-  for (const auto& [name, spec] : candidate.accounts) {
+  for (const auto& [name, spec] : AccountsOf(candidate)) {
     for (const std::string& key : spec.keys) {
       const auto [owner, added] = owners.try_emplace(key, name);
       if (!added && owner->second != name) {
@@ -131,6 +134,13 @@
   return used;
 }
 
+bool HasKeys(const Configuration& configuration) {
+  const auto& accounts = AccountsOf(configuration);
+  return std::any_of(accounts.begin(), accounts.end(), [](const auto& account) {
+    return !account.second.keys.empty();
+  });
+}
+
 void CheckUse(Findings& findings, const Configuration& candidate) {
   const std::set<std::string> used = ServicesOfRoutes(candidate);
   for (const auto& entry : candidate.services) {
@@ -139,12 +149,16 @@
           "no route leads to it");
     }
   }
-  for (const auto& [name, spec] : candidate.accounts) {
+  for (const auto& [name, spec] : AccountsOf(candidate)) {
     if (spec.keys.empty()) {
       Add(findings, FindingKind::kNeverMatches, "account " + name,
           "it has no key");
     }
   }
+  if (candidate.accounts && !HasKeys(candidate)) {
+    Add(findings, FindingKind::kNeverMatches, kAccountsEntry,
+        "no account has a key: only open routes accept requests");
+  }
 }
 
 void CheckContradictions(Findings& findings, const Configuration& candidate) {
@@ -159,7 +173,7 @@
       contradiction("route " + name, "both service and split are set");
     }
   }
-  for (const auto& [name, spec] : candidate.accounts) {
+  for (const auto& [name, spec] : AccountsOf(candidate)) {
     if (spec.rate > 0 && spec.burst < 1) {
       contradiction("account " + name,
                     "its rate is limited, but its burst is below one request");
@@ -233,6 +247,17 @@
   }
 }
 
+// The table of accounts decides whether requests need a key, whatever it holds.
+void AddTableDifference(std::vector<ConfigDifference>& differences,
+                        bool before,
+                        bool after) {
+  if (before != after) {
+    differences.push_back(
+        {after ? DifferenceKind::kAdded : DifferenceKind::kRemoved,
+         kAccountsEntry, "", "", ""});
+  }
+}
+
 }  // namespace
 
 ConfigReport CheckConfiguration(const Configuration& candidate,
@@ -249,8 +274,10 @@
     AddDifferences(differences, "route", in_force->routes, candidate.routes);
     AddDifferences(differences, "service", in_force->services,
                    candidate.services);
-    AddDifferences(differences, "account", in_force->accounts,
-                   candidate.accounts);
+    AddTableDifference(differences, in_force->accounts.has_value(),
+                       candidate.accounts.has_value());
+    AddDifferences(differences, "account", AccountsOf(*in_force),
+                   AccountsOf(candidate));
     AddChanges(differences, "limits", in_force->limits, candidate.limits);
   }
   return report;
--- a/src/decisions/mesh/entry_check.cc
+++ b/src/decisions/mesh/entry_check.cc
@@ -30,7 +30,7 @@
   if (route == nullptr) {
     return Deny(now, context, ErrorId::kUnknownRoute);
   }
-  if (route->spec.open || !context.config->HasAccounts()) {
+  if (route->spec.open || !context.config->RequiresKeys()) {
     return Admitted{route, nullptr, route->spec.priority};
   }
   if (now >= context.lease_end) {
--- a/src/decisions/mesh/mesh_config.cc
+++ b/src/decisions/mesh/mesh_config.cc
@@ -65,6 +65,12 @@
 
 }  // namespace
 
+const std::map<std::string, AccountSpec>& AccountsOf(
+    const Configuration& configuration) {
+  static const std::map<std::string, AccountSpec> kNone;
+  return configuration.accounts ? *configuration.accounts : kNone;
+}
+
 const std::string& MeshRoute::SelectService(double point) const {
   double total = 0;
   for (const SplitPart& part : parts) {
@@ -120,7 +126,7 @@
 }
 
 Result<Done> MeshConfig::AddKeys() {
-  for (const auto& [name, spec] : m_configuration.accounts) {
+  for (const auto& [name, spec] : AccountsOf(m_configuration)) {
     for (const std::string& key : spec.keys) {
       const bool added =
           m_keys.try_emplace(key, MeshAccount{name, spec}).second;
@@ -158,8 +164,9 @@
 }
 
 const AccountSpec* MeshConfig::FindAccount(const std::string& name) const {
-  const auto found = m_configuration.accounts.find(name);
-  return found == m_configuration.accounts.end() ? nullptr : &found->second;
+  const auto& accounts = AccountsOf(m_configuration);
+  const auto found = accounts.find(name);
+  return found == accounts.end() ? nullptr : &found->second;
 }
 
 ServiceSpec MeshConfig::SettingsOf(const std::string& service) const {
--- a/src/programs/control_service.cc
+++ b/src/programs/control_service.cc
@@ -11,6 +11,7 @@
 #include "rosemarywinch/decisions/fleet/evacuations.h"
 #include "rosemarywinch/decisions/fleet/fleet_store.h"
 #include "rosemarywinch/decisions/fleet/policy.h"
+#include "rosemarywinch/decisions/mesh/mesh_config.h"
 
 namespace rosemarywinch {
 
@@ -377,8 +378,9 @@
     const std::string& account) const {
   const std::shared_ptr<const Configuration> config = m_reader.Current();
   if (config != nullptr) {
-    const auto found = config->accounts.find(account);
-    if (found != config->accounts.end()) {
+    const auto& accounts = AccountsOf(*config);
+    const auto found = accounts.find(account);
+    if (found != accounts.end()) {
       return RateLimit{found->second.rate, found->second.burst};
     }
   }
--- a/tests/process-platform.cpp
+++ b/tests/process-platform.cpp
@@ -327,6 +327,28 @@
   }));
 }
 
+// Failure: after the last client account was taken out of the configuration,
+// its key and any other were accepted for good.
+BOOST_AUTO_TEST_CASE(the_key_of_the_last_account_is_withdrawn) {
+  Fixture& fixture = Fixture::Get();
+  Mesh& mesh = fixture.mesh;
+  Json emptied = Json::parse(ConfigurationText(15, 12, "k3"));
+  emptied["accounts"] = Json::object();
+  BOOST_REQUIRE_EQUAL(mesh.Put(emptied.dump()), 200);
+  for (const char* key : {"k3", "unknown"}) {
+    BOOST_TEST(WaitUntil([&] {
+      return mesh.StatusOf(mesh.Callers(0),
+                           Mesh::Request("/pay/8", "id-8", key)) == 401;
+    }));
+  }
+  BOOST_REQUIRE_EQUAL(mesh.Put(ConfigurationText(18, 15, "k3")), 200);
+  ReportSecondTill(fixture);
+  BOOST_TEST(WaitUntil([&] {
+    return mesh.StatusOf(mesh.Callers(0),
+                         Mesh::Request("/pay/8", "id-8", "k3")) == 200;
+  }));
+}
+
 // Pattern: during a planned stop under load, requests that have just been
 // accepted are cut off.
 BOOST_AUTO_TEST_CASE(a_planned_stop_under_load_cuts_no_request_off) {
--- a/tests/unit-config-check.cpp
+++ b/tests/unit-config-check.cpp
@@ -20,7 +20,7 @@
   route.target_latency = {500};
   route.service = "shop";
   configuration.routes["one"] = route;
-  configuration.accounts["ann"] = {{"k1"}, 1, 10, 10};
+  configuration.accounts.emplace()["ann"] = {{"k1"}, 1, 10, 10};
   return configuration;
 }
 
@@ -52,7 +52,7 @@
   configuration.routes["two"].path_prefix = "/y/";
   configuration.routes["two"].timeout = {0};
   configuration.routes["one"].service = "unknown";
-  configuration.accounts["bob"].keys = {"k1"};
+  (*configuration.accounts)["bob"].keys = {"k1"};
   Configuration in_force = Sample();
   const ConfigReport report = CheckConfiguration(configuration, &in_force);
   BOOST_TEST(HasErrors(report));
@@ -71,7 +71,7 @@
   configuration.routes["bad"] = configuration.routes["one"];
   configuration.routes["bad"].path_prefix = "/z";
   configuration.services["idle"] = {};
-  configuration.accounts["bob"] = {{}, 1, 5, 0};
+  (*configuration.accounts)["bob"] = {{}, 1, 5, 0};
   const ConfigReport report = CheckConfiguration(configuration, nullptr);
   BOOST_TEST(!HasErrors(report));
   for (const char* entry :
@@ -89,7 +89,7 @@
   in_force.version = 3;
   Configuration configuration = Sample();
   configuration.routes["one"].timeout = {1'500};
-  configuration.accounts["ann"].keys = {"k2", "k3"};
+  (*configuration.accounts)["ann"].keys = {"k2", "k3"};
   configuration.services["new"] = {};
   in_force.routes["gone"] = in_force.routes["one"];
   const ConfigReport report = CheckConfiguration(configuration, &in_force);
@@ -100,3 +100,24 @@
       {DifferenceKind::kChanged, "account ann", "keys", "1 keys", "2 keys"}};
   BOOST_TEST((report.differences == expected));
 }
+
+// Guards against a configuration that refuses every key, or asks for none any
+// more, and whose check says nothing of it.
+BOOST_AUTO_TEST_CASE(a_table_of_accounts_without_keys_is_reported) {
+  Configuration in_force = Sample();
+  in_force.version = 3;
+  Configuration configuration = Sample();
+  configuration.accounts->clear();
+  ConfigReport report = CheckConfiguration(configuration, &in_force);
+  BOOST_TEST(!HasErrors(report));
+  BOOST_TEST(Finds(report, FindingKind::kNeverMatches, "accounts"));
+  const ConfigDifference gone{DifferenceKind::kRemoved, "account ann", "", "",
+                              ""};
+  BOOST_TEST((report.differences == std::vector{gone}));
+
+  configuration.accounts.reset();
+  report = CheckConfiguration(configuration, &in_force);
+  BOOST_TEST(report.findings.empty());
+  const ConfigDifference open{DifferenceKind::kRemoved, "accounts", "", "", ""};
+  BOOST_TEST((report.differences == std::vector{open, gone}));
+}
--- a/tests/unit-mesh-config.cpp
+++ b/tests/unit-mesh-config.cpp
@@ -26,7 +26,7 @@
   route.service = "till";
   route.open = true;
   configuration.routes["two"] = route;
-  configuration.accounts["ann"].keys = {"k1", "k2"};
+  configuration.accounts.emplace()["ann"].keys = {"k1", "k2"};
   return configuration;
 }
 
@@ -40,6 +40,19 @@
       Capture([] { return MeshConfig::Build(Sample()); }));
 }
 
+// A document of an operator with a closed and an open route, and `members`.
+std::shared_ptr<const MeshConfig> Parsed(const std::string& members) {
+  return std::get<std::shared_ptr<const MeshConfig>>(Capture([&] {
+    return ParseMeshConfig(
+        R"({"version":4,"services":{"shop":{}},"routes":{"one":{)"
+        R"("hostname":"a.example","path_prefix":"/x/","timeout":1000,)"
+        R"("service":"shop"},"two":{"hostname":"a.example",)"
+        R"("path_prefix":"/o/","timeout":1000,"service":"shop",)"
+        R"("open":true}})" +
+        members + "}");
+  }));
+}
+
 ErrorId ReasonOf(const EntryDecision& decision) {
   const auto* refusal = std::get_if<Rejected>(&decision);
   return refusal == nullptr ? ErrorId::kNone : refusal->reason;
@@ -87,13 +100,13 @@
   }));
   BOOST_TEST(
       broken([](auto& c) { c.routes["one"].target_latency = {61'000}; }));
-  BOOST_TEST(broken([](auto& c) { c.accounts["bob"].keys = {"k2"}; }));
+  BOOST_TEST(broken([](auto& c) { (*c.accounts)["bob"].keys = {"k2"}; }));
   for (const double value : {-1.0, HUGE_VAL, std::nan("")}) {
     BOOST_TEST(broken([&](auto& c) { c.services["shop"].cold_rate = value; }));
     BOOST_TEST(broken([&](auto& c) { c.services["shop"].cold_start = value; }));
   }
   BOOST_TEST(!broken([](auto& c) { c.services["shop"].cold_rate = 13; }));
-  BOOST_TEST(!broken([](auto& c) { c.accounts["bob"].keys = {"k3"}; }));
+  BOOST_TEST(!broken([](auto& c) { (*c.accounts)["bob"].keys = {"k3"}; }));
 }
 
 BOOST_AUTO_TEST_CASE(truncated_json_is_rejected) {
@@ -125,6 +138,41 @@
       (reason(context, {"a.example", "/z/", "k2"}) == ErrorId::kUnknownRoute));
 }
 
+// Failure: after the last client account was taken out, its key and any other
+// were accepted, also by a node whose lease had expired.
+BOOST_AUTO_TEST_CASE(an_empty_table_of_accounts_admits_no_key) {
+  const auto config = Parsed(R"(,"accounts":{})");
+  const EntryContext valid{config.get(), kNow + Duration{1'000}, kNow};
+  const EntryContext expired{config.get(), kNow, kNow};
+  const auto reason = [&](const EntryContext& context, EntryRequest request) {
+    return ReasonOf(CheckEntry(kNow, context, request));
+  };
+  BOOST_TEST(
+      (reason(valid, {"a.example", "/x/1", "k1"}) == ErrorId::kWrongKey));
+  BOOST_TEST((reason(valid, {"a.example", "/x/1", {}}) == ErrorId::kNoKey));
+  BOOST_TEST((reason(valid, {"a.example", "/o/1", "k1"}) == ErrorId::kNone));
+  BOOST_TEST(
+      (reason(expired, {"a.example", "/x/1", "k1"}) == ErrorId::kCutOff));
+}
+
+BOOST_AUTO_TEST_CASE(an_account_without_keys_admits_no_key) {
+  const auto config = Parsed(R"(,"accounts":{"ann":{}})");
+  const EntryContext context{config.get(), kNow + Duration{1'000}, kNow};
+  const EntryRequest request{"a.example", "/x/1", "k1"};
+  BOOST_TEST(
+      (ReasonOf(CheckEntry(kNow, context, request)) == ErrorId::kWrongKey));
+}
+
+BOOST_AUTO_TEST_CASE(without_a_table_of_accounts_no_key_is_needed) {
+  const auto config = Parsed("");
+  const EntryContext context{config.get(), kNow + Duration{1'000}, kNow};
+  const auto reason = [&](EntryRequest request) {
+    return ReasonOf(CheckEntry(kNow, context, request));
+  };
+  BOOST_TEST((reason({"a.example", "/x/1", {}}) == ErrorId::kNone));
+  BOOST_TEST((reason({"a.example", "/x/1", "k1"}) == ErrorId::kNone));
+}
+
 BOOST_AUTO_TEST_CASE(a_node_with_an_outdated_configuration_denies_nothing) {
   const auto config = Built();
   const EntryContext stale{config.get(), kNow + Duration{1'000},
--- a/tools/schemagen/main.cc
+++ b/tools/schemagen/main.cc
@@ -177,10 +177,17 @@
     }
   }
 
+  std::string MapType(const pb::FieldDescriptor& field) {
+    const auto& rule =
+        field.options().GetExtension(rosemarywinch::schema::rule);
+    const std::string type = "std::map<std::string, " +
+                             ScalarType(*field.message_type()->field(1)) + ">";
+    return rule.tracks_presence() ? "std::optional<" + type + ">" : type;
+  }
+
   std::string FieldType(const pb::FieldDescriptor& field) {
     if (field.is_map()) {
-      return "std::map<std::string, " +
-             ScalarType(*field.message_type()->field(1)) + ">";
+      return MapType(field);
     }
     if (field.is_repeated()) {
       return "std::vector<" + ScalarType(field) + ">";
