mesh: a planned stop accepts a late call only if it ends in time

Cause: such a call was accepted by its time of arrival only, whatever time it might need, 0.52 s before the node breaks off what is open. Clients on the node's own host that use an open route were treated alike.

Ruled out: a late start (calls began within 1 ms) and a lost answer (those cut finished later or never). Weighed and left: an estimate from earlier calls, which the next slow call breaks; a shorter deadline, which a backend server need not heed.

Change: a phase `bounded` from 2.8 s on, in which a call is accepted only if its deadline passes before the break-off. Others are refused, unsent. What is accepted after 2.8 s is therefore answered or past its deadline when the node breaks off.

--- a/gen/rosemarywinch/schema/mesh.h
+++ b/gen/rosemarywinch/schema/mesh.h
@@ -35,17 +35,20 @@
   kRunning = 0,
   kNotReady = 1,
   kClosed = 2,
-  kFinishing = 3,
-  kAnswering = 4,
-  kOver = 5,
+  kBounded = 3,
+  kFinishing = 4,
+  kAnswering = 5,
+  kOver = 6,
 };
 
-inline constexpr std::array<EnumEntry<StopPhase>, 6> kStopPhaseTable{{
+inline constexpr std::array<EnumEntry<StopPhase>, 7> kStopPhaseTable{{
     {StopPhase::kRunning, "running", "accepts requests", "", 0},
     {StopPhase::kNotReady, "not_ready",
      "accepts requests, but says that it is not ready", "", 0},
     {StopPhase::kClosed, "closed",
      "accepts only calls of the local backend server", "", 0},
+    {StopPhase::kBounded, "bounded",
+     "accepts only calls of the local backend server that end in time", "", 0},
     {StopPhase::kFinishing, "finishing",
      "waits for requests that backend servers run, refuses all others", "", 0},
     {StopPhase::kAnswering, "answering",
--- a/include/rosemarywinch/decisions/mesh/stop_schedule.h
+++ b/include/rosemarywinch/decisions/mesh/stop_schedule.h
@@ -15,6 +15,14 @@
   kLocalBackend,
 };
 
+/// The phase of a node, as far as the acceptance of requests depends on it.
+struct StopState {
+  StopPhase phase = StopPhase::kRunning;
+  /// Time from which on the node breaks off requests that backend servers still
+  /// run. Meaningful in a planned stop only.
+  TimePoint break_off;
+};
+
 /// Times of a planned stop. Every request that is accepted has its answer
 /// before kOver, so that each phase accepts only what can be answered by then.
 class StopSchedule {
@@ -25,14 +33,21 @@
   /// Begin of `phase`. kRunning has none.
   TimePoint Begin(StopPhase phase) const;
 
+  /// Returns the state of the node in `phase`.
+  StopState StateIn(StopPhase phase) const;
+
  private:
   const TimePoint m_began;
   const Duration m_grace;
 };
 
-/// Returns whether a request that arrives in `phase` is accepted. One that is
-/// not accepted is refused at once and has not run.
-bool IsAccepted(StopPhase phase, RequestOrigin origin);
+/// Returns whether a request that arrives now is accepted. One that is not
+/// accepted is refused at once and has not run. Late in a stop, a request is
+/// accepted only if its deadline passes before the node would break it off,
+/// because the time that a backend server needs for it is unknown.
+bool IsAccepted(const StopState& state,
+                RequestOrigin origin,
+                TimePoint deadline);
 
 /// Returns whether a request may be sent to a backend server in `phase`. Later
 /// it could no longer finish.
--- a/include/rosemarywinch/programs/mesh/outbound_proxy.h
+++ b/include/rosemarywinch/programs/mesh/outbound_proxy.h
@@ -1,8 +1,8 @@
 #ifndef ROSEMARYWINCH_PROGRAMS_MESH_OUTBOUND_PROXY_H_
 #define ROSEMARYWINCH_PROGRAMS_MESH_OUTBOUND_PROXY_H_
 
-#include <atomic>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -34,8 +34,8 @@
       HttpRequest request,
       std::shared_ptr<CancellationToken> cancellation);
 
-  /// Enters a phase of a planned stop.
-  void EnterPhase(StopPhase phase) { m_stop_phase = phase; }
+  /// Enters a phase of a planned stop. Thread-safe.
+  void EnterPhase(const StopState& state);
 
  private:
   /// A request and the state of its attempts.
@@ -54,6 +54,7 @@
     HopResponse last;
   };
 
+  StopState CurrentStop() const;
   asio::awaitable<HttpResponse> Admit(
       HttpRequest request,
       CallerRequest caller,
@@ -88,7 +89,8 @@
   MeshProtocol& m_protocol;
   Clock& m_clock;
   Metrics& m_metrics;
-  std::atomic<StopPhase> m_stop_phase{StopPhase::kRunning};
+  mutable std::mutex m_stop_mutex;
+  StopState m_stop;
 };
 
 }  // namespace rosemarywinch
--- a/src/decisions/mesh/stop_schedule.cc
+++ b/src/decisions/mesh/stop_schedule.cc
@@ -9,6 +9,9 @@
 // Callers are accepted for this long, so that they notice first that the node
 // isn't ready.
 constexpr Duration kNotReadyPeriod{2'400};
+// Calls of the local backend server are accepted for this long whatever their
+// deadline is, since most of them end soon.
+constexpr Duration kAnyCallPeriod{2'800};
 // Between the end of the stop and the moment at which the process would be
 // killed.
 constexpr Duration kKillMargin{250};
@@ -16,6 +19,7 @@
 constexpr Duration kAnswerPeriod{250};
 // Parts of a short grace period.
 constexpr int64_t kNotReadyPercent = 40;
+constexpr int64_t kAnyCallPercent = 46;
 constexpr int64_t kMaxMarginPercent = 8;
 constexpr int64_t kSendPercent = 83;
 constexpr int64_t kPercent = 100;
@@ -42,6 +46,8 @@
     case StopPhase::kClosed:
       return m_began +
              std::min(kNotReadyPeriod, Part(m_grace, kNotReadyPercent));
+    case StopPhase::kBounded:
+      return m_began + std::min(kAnyCallPeriod, Part(m_grace, kAnyCallPercent));
     case StopPhase::kFinishing:
       return m_began + Part(m_grace, kSendPercent);
     case StopPhase::kAnswering:
@@ -52,11 +58,22 @@
   return m_began;
 }
 
-bool IsAccepted(StopPhase phase, RequestOrigin origin) {
-  const StopPhase end = origin == RequestOrigin::kLocalBackend
-                            ? StopPhase::kFinishing
-                            : StopPhase::kClosed;
-  return phase < end;
+StopState StopSchedule::StateIn(StopPhase phase) const {
+  return {phase, Begin(StopPhase::kAnswering)};
+}
+
+bool IsAccepted(const StopState& state,
+                RequestOrigin origin,
+                TimePoint deadline) {
+  if (state.phase < StopPhase::kClosed) {
+    return true;
+  }
+  if (origin != RequestOrigin::kLocalBackend) {
+    return false;
+  }
+  const bool ends_in_time = deadline <= state.break_off;
+  return state.phase < StopPhase::kBounded ||
+         (state.phase == StopPhase::kBounded && ends_in_time);
 }
 
 bool MaySend(StopPhase phase) {
--- a/src/programs/mesh/mesh_node.cc
+++ b/src/programs/mesh/mesh_node.cc
@@ -211,15 +211,18 @@
     m_backend_proxy.BeginStop();
     m_poller.BeginLeaving();
     co_await SleepUntil(schedule.Begin(StopPhase::kClosed));
-    m_outbound_proxy.EnterPhase(StopPhase::kClosed);
+    m_outbound_proxy.EnterPhase(schedule.StateIn(StopPhase::kClosed));
     m_caller_server->CloseToOtherHosts();
+    co_await WaitUntilNone(&MeshNode::OpenRequests,
+                           schedule.Begin(StopPhase::kBounded));
+    m_outbound_proxy.EnterPhase(schedule.StateIn(StopPhase::kBounded));
     co_await WaitUntilNone(&MeshNode::OpenRequests,
                            schedule.Begin(StopPhase::kFinishing));
-    m_outbound_proxy.EnterPhase(StopPhase::kFinishing);
+    m_outbound_proxy.EnterPhase(schedule.StateIn(StopPhase::kFinishing));
     m_links.CancelQueuedHopRequests();
     co_await WaitUntilNone(&MeshNode::OpenRequests,
                            schedule.Begin(StopPhase::kAnswering));
-    m_outbound_proxy.EnterPhase(StopPhase::kAnswering);
+    m_outbound_proxy.EnterPhase(schedule.StateIn(StopPhase::kAnswering));
     m_cut_off = OpenRequests();
     m_caller_server->CancelOpenRequests();
     m_hop_server.CancelOpenRequests();
--- a/src/programs/mesh/outbound_proxy.cc
+++ b/src/programs/mesh/outbound_proxy.cc
@@ -114,11 +114,11 @@
         RetryAfterRejection(refusal->reason, m_view.RandomFraction()));
   }
   const Admitted& admitted = std::get<Admitted>(decision);
-  if (!IsAccepted(m_stop_phase, OriginOf(request, admitted))) {
+  RequestState state = BeginRequest(now, caller, admitted);
+  if (!IsAccepted(CurrentStop(), OriginOf(request, admitted), state.deadline)) {
     co_return Refuse(caller.request_id, Error{ErrorId::kDraining, ""},
                      kDefaultRetryAfter);
   }
-  RequestState state = BeginRequest(now, caller, admitted);
   state.config_version = config_state.config->version();
   if (admitted.account != nullptr) {
     auto refusal = co_await CheckAccount(state, admitted);
@@ -141,6 +141,16 @@
   co_return Finish(state);
 }
 
+void OutboundProxy::EnterPhase(const StopState& state) {
+  std::scoped_lock lock(m_stop_mutex);
+  m_stop = state;
+}
+
+StopState OutboundProxy::CurrentStop() const {
+  std::scoped_lock lock(m_stop_mutex);
+  return m_stop;
+}
+
 OutboundProxy::RequestState OutboundProxy::BeginRequest(
     TimePoint now,
     const CallerRequest& caller,
@@ -203,7 +213,7 @@
     std::shared_ptr<CancellationToken> cancellation) {
   state.last.outcome = HopOutcome::kNotRun;
   state.last.reason = ErrorId::kNoBackend;
-  while (!cancellation->cancelled() && MaySend(m_stop_phase)) {
+  while (!cancellation->cancelled() && MaySend(CurrentStop().phase)) {
     const auto member = m_view.Choose(state.hop.service, state.excluded);
     if (!member) {
       co_return;
