--- a/tests/unit-operator-answers.cpp
+++ b/tests/unit-operator-answers.cpp
@@ -39,8 +39,9 @@
   const std::string file = folder.At("new.json");
   std::ofstream(file) << R"({"version":4,"base_version":3})";
   CurlChannel channel;
-  const auto outcome = Capture(
-      [&] { return RunConfigCheck({file, "", address, false}, channel); });
+  const auto outcome = Capture([&] {
+    return RunConfigCheck({file, "", address, false}, channel);
+  });
   if (const auto* error = std::get_if<Error>(&outcome)) {
     BOOST_TEST((error->id == ErrorId::kUnreachable));
     return false;
@@ -75,10 +76,9 @@
   return std::holds_alternative<ControlStatus>(outcome);
 }
 
-const std::vector<Command> kCommands{
-    {"mesh check", CheckAgainstVersionInForce},
-    {"request explain", Explain},
-    {"call of control", CallControl}};
+const std::vector<Command> kCommands{{"mesh check", CheckAgainstVersionInForce},
+                                     {"request explain", Explain},
+                                     {"call of control", CallControl}};
 
 bool Succeeds(const Command& command, const std::string& status) {
   ScriptedPeer peer([&](PeerConnection& connection) {
